--- /dev/null
+++ b/src/main/java/org/snowturn/cloud/CloudClient.java
@@ -0,0 +1,28 @@
+package org.snowturn.cloud;
+
+import java.util.function.Consumer;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Input;
+import org.snowturn.net.HttpCaller;
+import org.snowturn.net.Replies;
+import org.snowturn.wire.Json;
+
+/** The client of the cloud; the core spends the request rate where it matters most. */
+public final class CloudClient {
+  private final HttpCaller caller;
+
+  /** Uses one caller. */
+  public CloudClient(HttpCaller caller) {
+    this.caller = caller;
+  }
+
+  /** Makes the call and hands in its reply. */
+  public void call(Effect.Call c, Consumer<Input> reply) {
+    caller.call(
+        c.method(),
+        c.path(),
+        c.body() == null ? null : Json.bytes(c.body()),
+        c.timeoutMs(),
+        (outcome, status, bytes) -> reply.accept(Replies.of(c, outcome, status, bytes)));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -0,0 +1,105 @@
+package org.snowturn.core;
+
+import java.util.List;
+import java.util.Map;
+import org.snowturn.config.Settings;
+import org.snowturn.config.Tunables;
+import org.snowturn.wire.Command;
+
+/**
+ * A controller as a state machine: inputs with their time go in, effects come out. It does no I/O,
+ * reads no clock and starts no thread, so that tests drive the very code that runs.
+ */
+public final class Controller {
+  private final Calls calls = new Calls();
+  private final Settings settings;
+  private final Tunables tunables;
+  private final Catalog catalog;
+  private final UserDesk desk;
+  private final Election election;
+  private Leader leader;
+
+  /**
+   * Makes a controller that has done nothing yet.
+   *
+   * @param incarnation a name that no other process of this node has had
+   */
+  public Controller(Settings settings, Tunables tunables, String incarnation) {
+    this.settings = settings;
+    this.tunables = tunables;
+    catalog = new Catalog(calls);
+    desk = new UserDesk(settings, calls, catalog);
+    election = new Election(settings, tunables, calls, incarnation);
+  }
+
+  /** Takes one input and returns what is to be done. */
+  public List<Effect> handle(long nowMs, long wallMs, Input input) {
+    calls.at(nowMs, wallMs);
+    if (input instanceof Input.Tick) {
+      tick();
+    } else if (input instanceof Input.Reply r) {
+      calls.reply(r);
+    } else if (input instanceof Input.CheckIn c) {
+      checkIn(c);
+    } else if (input instanceof Input.Submit s) {
+      desk.submit(s.exchange(), s.spec());
+    } else if (input instanceof Input.Poll p) {
+      desk.poll(p.exchange(), p.job());
+    } else if (input instanceof Input.Cancel c) {
+      desk.cancel(c.exchange(), c.job());
+    } else if (input instanceof Input.FromPeer p) {
+      fromPeer(p);
+    }
+    follow();
+    if (leader != null) {
+      leader.flush();
+    }
+    return calls.drain();
+  }
+
+  /** Whether this node may give commands now. */
+  public boolean hasAuthority() {
+    return election.hasAuthority();
+  }
+
+  /** Figures for operators. */
+  public Map<String, Double> gauges() {
+    return leader == null ? Map.of() : leader.gauges();
+  }
+
+  private void tick() {
+    catalog.tick();
+    election.tick();
+    follow();
+    if (leader != null) {
+      leader.tick();
+    }
+  }
+
+  /** Starts or ends a term as the election has it. */
+  private void follow() {
+    if (leader != null && (!election.leading() || election.token() != leader.token())) {
+      leader.end();
+      leader = null;
+    }
+    if (leader == null && election.leading()) {
+      leader = new Leader(calls, settings, tunables, election, catalog, desk);
+    }
+  }
+
+  private void checkIn(Input.CheckIn c) {
+    if (leader != null) {
+      leader.checkIn(c.exchange(), c.report());
+      return;
+    }
+    calls.answer(c.exchange(), 421, Command.elsewhere(election.leader()));
+  }
+
+  private void fromPeer(Input.FromPeer p) {
+    if (p.message() instanceof PeerRecord.Progress g) {
+      desk.progress(g);
+    } else if (p.message() instanceof PeerRecord.Resign r) {
+      election.endForPeer(r);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Effect.java
@@ -0,0 +1,39 @@
+package org.snowturn.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Everything that a controller can ask of the world around it. */
+public sealed interface Effect {
+  /** Which part of the outside a call goes to. */
+  enum Target {
+    STATE,
+    STATE_WATCH,
+    CLOUD,
+    WORKER
+  }
+
+  /**
+   * A request to the outside; its reply comes as {@link Input.Reply}.
+   *
+   * @param addr the worker's address, or null
+   * @param body null for none
+   */
+  record Call(
+      long id,
+      Target target,
+      String addr,
+      String method,
+      String path,
+      JsonNode body,
+      int timeoutMs)
+      implements Effect {}
+
+  /** An answer to an exchange; retryAfterS 0: none. */
+  record Answer(long exchange, int status, JsonNode body, int retryAfterS) implements Effect {}
+
+  /** A record for every peer. */
+  record ToPeers(PeerRecord message) implements Effect {}
+
+  /** A decision worth a line at info. */
+  record Note(String text) implements Effect {}
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -0,0 +1,454 @@
+package org.snowturn.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.snowturn.config.Settings;
+import org.snowturn.config.Tunables;
+import org.snowturn.wire.CloudMachine;
+import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.MachineType;
+import org.snowturn.wire.MalformedException;
+
+/** Hires, replaces and returns machines, within the cloud's rate. */
+final class Fleet {
+  private static final int TIMEOUT_MS = 5000;
+  private static final int MOST_PER_HIRE = 50;
+
+  private record Kind(String type, int zone, boolean spot) {}
+
+  private static final class Hire {
+    final String name;
+    final Kind kind;
+    final int count;
+    int tries;
+
+    Hire(String name, Kind kind, int count) {
+      this.name = name;
+      this.kind = kind;
+      this.count = count;
+    }
+  }
+
+  private final Calls calls;
+  private final Settings settings;
+  private final Tunables tunables;
+  private final Catalog catalog;
+  private final MachineBook machines;
+  private final Ledger ledger;
+  private final Reports reports;
+  private final FleetPolicy policy;
+  private final long token;
+
+  private final Map<Kind, Long> refusedUntil = new HashMap<>();
+  private final Map<Kind, Integer> refusals = new HashMap<>();
+  private final List<Hire> inFlight = new ArrayList<>();
+  private final List<Hire> repeats = new ArrayList<>();
+  private double budget;
+  private long filledAt;
+  private long nextListAt;
+  private boolean listing;
+  private List<CloudMachine> pages = new ArrayList<>();
+  private boolean listedOnce;
+  private long hires;
+  private int deletesInFlight;
+  private long cloudTroubleUntil;
+  private double peakArrayCpus;
+  private long peakAt;
+
+  Fleet(
+      Calls calls,
+      Settings settings,
+      Tunables tunables,
+      Catalog catalog,
+      MachineBook machines,
+      Ledger ledger,
+      Reports reports,
+      FleetPolicy policy,
+      long token) {
+    this.calls = calls;
+    this.settings = settings;
+    this.tunables = tunables;
+    this.catalog = catalog;
+    this.machines = machines;
+    this.ledger = ledger;
+    this.reports = reports;
+    this.policy = policy;
+    this.token = token;
+    this.filledAt = calls.now();
+    this.budget = settings.cloudLimits().rps();
+  }
+
+  void tick() {
+    long now = calls.now();
+    double rate = settings.cloudLimits().rps() * 0.85;
+    budget = Math.min(rate * 1.5 + 0.5, budget + rate * (now - filledAt) / 1000.0);
+    filledAt = now;
+    delete();
+    if (!listing && now >= nextListAt && spend()) {
+      listing = true;
+      pages = new ArrayList<>();
+      list(null);
+    }
+    if (catalog.known() && listedOnce && now >= cloudTroubleUntil) {
+      hire();
+      giveBack();
+    }
+  }
+
+  private boolean spend() {
+    if (budget < 1) {
+      return false;
+    }
+    budget -= 1;
+    return true;
+  }
+
+  private void list(String since) {
+    String path = "/machines?most=500" + (since == null ? "" : "&since=" + since);
+    calls.call(
+        Effect.Target.CLOUD,
+        null,
+        "GET",
+        path,
+        null,
+        TIMEOUT_MS,
+        (outcome, status, body) -> {
+          if (outcome == Outcome.ANSWERED && status == 200) {
+            try {
+              CloudMachine.Page page = CloudMachine.Page.parse(body);
+              pages.addAll(page.machines());
+              if (page.more() && !page.machines().isEmpty()) {
+                list(page.machines().get(page.machines().size() - 1).id());
+                return;
+              }
+              listed(pages);
+            } catch (MalformedException e) {
+              calls.note("machine list ignored: " + e.getMessage());
+            }
+          }
+          listing = false;
+          nextListAt =
+              calls.now() + (long) (1000 * Math.max(3, 4 / settings.cloudLimits().rps()));
+        });
+  }
+
+  private void listed(List<CloudMachine> list) {
+    long now = calls.now();
+    listedOnce = true;
+    for (CloudMachine c : list) {
+      Machine m = machines.getOrCreate(c.id());
+      if (m.gone) {
+        continue; // the list lags
+      }
+      if (m.firstSeenAt == 0) {
+        m.firstSeenAt = now - (long) (c.ageS() * 1000);
+      }
+      m.listedAt = now;
+      m.cloudState = c.state();
+      if (m.type == null) {
+        m.type = c.type();
+        m.zone = machines.zone(c.zone());
+        m.spot = c.spot();
+        m.shape = catalog.get(c.type());
+        if (c.addr() != null) {
+          m.addr = c.addr();
+        }
+      }
+      if (c.state() == CloudMachine.State.FAILED && !m.deleting) {
+        calls.note(m.id + " failed, says the cloud");
+        reports.releaseAll(m);
+        m.deleting = true;
+      }
+      boolean neverCameUp =
+          m.lastReportAt == Job.UNKNOWN
+              && m.bound.isEmpty()
+              && c.state() == CloudMachine.State.STARTING
+              && m.shape != null
+              && c.ageS() > tunables.bootPatience() * m.shape.bootS() + 10;
+      if (neverCameUp && !m.deleting) {
+        calls.note(m.id + " never came up");
+        m.deleting = true;
+      }
+    }
+    long stale = (long) (1000 * (3 * settings.cloudLimits().listLagS() + 8));
+    for (Machine m : machines.present()) {
+      boolean silent =
+          m.lastReportAt == Job.UNKNOWN || now - m.lastReportAt > Reports.lapseMs(settings);
+      long known = Math.max(m.listedAt, m.firstSeenAt);
+      if (!m.deleting && silent && m.bound.isEmpty() && now - known > stale) {
+        m.gone = true;
+      }
+    }
+  }
+
+  /** Marks a machine for deletion: when the cloud confirms, all that was on it has ended. */
+  void discard(Machine m, String why) {
+    if (!m.deleting && !m.gone) {
+      calls.note(m.id + " is deleted: " + why);
+      m.deleting = true;
+      ledger.somethingChanged();
+    }
+  }
+
+  private void delete() {
+    long now = calls.now();
+    if (deletesInFlight >= 2) {
+      return;
+    }
+    List<Machine> batch = new ArrayList<>();
+    for (Machine m : machines.present()) {
+      if (m.deleting && now >= m.deleteRetryAt && batch.size() < 100) {
+        batch.add(m);
+      }
+    }
+    if (batch.isEmpty() || !spend()) {
+      return;
+    }
+    deletesInFlight++;
+    for (Machine m : batch) {
+      m.deleteRetryAt = now + TIMEOUT_MS + 500;
+    }
+    calls.call(
+        Effect.Target.CLOUD,
+        null,
+        "POST",
+        "/machines/delete",
+        CloudMachine.delete(batch.stream().map(m -> m.id).toList()),
+        TIMEOUT_MS,
+        (outcome, status, body) -> {
+          deletesInFlight--;
+          for (Machine m : batch) {
+            if (outcome == Outcome.ANSWERED && status == 200) {
+              m.gone = true;
+              reports.releaseAll(m);
+            } else {
+              m.deleteRetryAt = calls.now() + 1000;
+            }
+          }
+        });
+  }
+
+  /** What machines of a kind hold, up or on their way. */
+  private double supply(boolean spot) {
+    double cpus = 0;
+    for (Machine m : machines.present()) {
+      if (m.spot == spot && counts(m)) {
+        cpus += m.shape.cpus();
+      }
+    }
+    for (Hire h : inFlight) {
+      if (h.kind.spot == spot && catalog.get(h.kind.type) != null) {
+        cpus += h.count * catalog.get(h.kind.type).cpus();
+      }
+    }
+    return cpus;
+  }
+
+  private boolean counts(Machine m) {
+    return !m.gone
+        && !m.deleting
+        && !m.sick
+        && !m.returning
+        && !m.suspect
+        && m.takenAt == Long.MAX_VALUE
+        && m.shape != null;
+  }
+
+  /** CPUs that the unfinished tasks need, memory counted by the leanest type's ratio. */
+  private double need(boolean spot) {
+    double ratio = 0;
+    for (MachineType t : catalog.all()) {
+      ratio = Math.max(ratio, t.memoryGb() / Math.max(1, t.cpus()));
+    }
+    double cpus = 0;
+    for (Job j : ledger.jobs()) {
+      if (!j.cancelled && j.spec.spot() == spot) {
+        JobSpec s = j.spec;
+        double each = Math.max(s.cpus(), ratio > 0 ? s.memoryGb() / ratio : 0);
+        cpus += each * (j.state.length - j.done);
+      }
+    }
+    return cpus;
+  }
+
+  private double target(boolean spot) {
+    if (policy.generous()) {
+      return Double.MAX_VALUE;
+    }
+    double need = need(spot);
+    if (!spot) {
+      return need * (1 + policy.serviceHeadroom()) + 8;
+    }
+    // A burst's machines stay a little: the next array finds them up and with their images.
+    long now = calls.now();
+    if (need >= peakArrayCpus || now - peakAt > 30_000) {
+      peakArrayCpus = need;
+      peakAt = now;
+    }
+    return Math.max(need, 0.6 * peakArrayCpus) * (1 + policy.arrayHeadroom());
+  }
+
+  private void hire() {
+    while (!repeats.isEmpty() && spend()) {
+      send(repeats.remove(0));
+    }
+    for (boolean spot : new boolean[] {false, true}) {
+      double target = target(spot);
+      // Where spot is refused everywhere, arrays are served by ordinary machines.
+      if (!spot && !policy.generous() && allRefused(true)) {
+        target += Math.max(0, target(true) - supply(true));
+      }
+      while (supply(spot) < target && inFlight.size() < 6) {
+        Kind kind = choose(spot, target - supply(spot));
+        if (kind == null || !spend()) {
+          break;
+        }
+        double cpus = catalog.get(kind.type).cpus();
+        int count =
+            policy.generous()
+                ? 3
+                : (int) Math.max(1, Math.min(2, Math.round((target - supply(spot)) / cpus)));
+        Hire h = new Hire("r-" + token + "-" + ++hires, kind, Math.min(MOST_PER_HIRE, count));
+        inFlight.add(h);
+        send(h);
+      }
+    }
+  }
+
+  private boolean allRefused(boolean spot) {
+    for (MachineType t : catalog.all()) {
+      for (String z : t.zones()) {
+        if (calls.now() >= refusedUntil.getOrDefault(new Kind(t.name(), machines.zone(z), spot), 0L)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private Kind choose(boolean spot, double shortage) {
+    Kind best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (MachineType t : catalog.all()) {
+      for (String z : t.zones()) {
+        int zone = machines.zone(z);
+        Kind k = new Kind(t.name(), zone, spot);
+        if (!machines.zoneKnown(zone) || calls.now() < refusedUntil.getOrDefault(k, 0L)) {
+          continue;
+        }
+        double price = spot ? t.spotPrice() : t.price();
+        double used = Math.min(shortage, t.cpus());
+        // Price of what would be used, then the zone with the least of this kind.
+        double cost = price / Math.max(1, used) * (1 + 0.002 * zoneSupply(k));
+        if (cost < bestCost) {
+          best = k;
+          bestCost = cost;
+        }
+      }
+    }
+    return best;
+  }
+
+  private double zoneSupply(Kind k) {
+    double cpus = 0;
+    for (Machine m : machines.present()) {
+      if (m.spot == k.spot && m.zone == k.zone && counts(m)) {
+        cpus += m.shape.cpus();
+      }
+    }
+    return cpus;
+  }
+
+  private void send(Hire h) {
+    h.tries++;
+    calls.call(
+        Effect.Target.CLOUD,
+        null,
+        "POST",
+        "/machines",
+        CloudMachine.hire(
+            h.name, h.kind.type, machines.zoneName(h.kind.zone), h.kind.spot, h.count),
+        TIMEOUT_MS,
+        (outcome, status, body) -> hired(h, outcome, status, body));
+  }
+
+  private void hired(Hire h, Outcome outcome, int status, JsonNode body) {
+    long now = calls.now();
+    if (outcome == Outcome.ANSWERED && status == 200) {
+      inFlight.remove(h);
+      try {
+        List<String> ids = CloudMachine.parseHired(body);
+        for (String id : ids) {
+          Machine m = machines.getOrCreate(id);
+          if (m.type == null) {
+            m.type = h.kind.type;
+            m.zone = h.kind.zone;
+            m.spot = h.kind.spot;
+            m.shape = catalog.get(h.kind.type);
+          }
+          m.firstSeenAt = m.firstSeenAt == 0 ? now : m.firstSeenAt;
+        }
+        calls.note(
+            "hired " + ids.size() + " of " + h.count + " " + h.kind.type + " in "
+                + machines.zoneName(h.kind.zone) + (h.kind.spot ? " (spot) " : " ") + ids);
+        if (ids.size() < h.count) {
+          refuse(h.kind, now);
+        } else {
+          refusals.remove(h.kind);
+        }
+      } catch (MalformedException e) {
+        calls.note("answer to a hire ignored: " + e.getMessage());
+      }
+      return;
+    }
+    if (outcome == Outcome.UNKNOWN && h.tries < 4) {
+      // The same name again: if it was executed, the same machines come back.
+      repeats.add(h);
+      return;
+    }
+    inFlight.remove(h);
+    boolean noCapacity = body != null && "no capacity".equals(body.path("error").asText());
+    if (noCapacity) {
+      refuse(h.kind, now);
+    } else {
+      cloudTroubleUntil = now + 1000;
+    }
+  }
+
+  private void refuse(Kind k, long now) {
+    int n = refusals.merge(k, 1, Integer::sum);
+    refusedUntil.put(k, now + Math.min(30_000, 6_000L * n));
+  }
+
+  private void giveBack() {
+    long now = calls.now();
+    int present = 0;
+    int sick = 0;
+    for (Machine m : machines.present()) {
+      present++;
+      sick += m.sick ? 1 : 0;
+    }
+    for (Machine m : machines.present()) {
+      if (m.deleting) {
+        continue;
+      }
+      if (m.sick && sick * 3 <= present) {
+        discard(m, "every task fails there");
+      }
+      boolean idle =
+          !policy.generous()
+              && m.bound.isEmpty()
+              && m.lastReportAt != Job.UNKNOWN
+              && m.shape != null
+              && counts(m)
+              && now - Math.max(m.idleSince, m.firstSeenAt + 60_000) > 0
+              && now - m.idleSince > tunables.idleReturnS() * 1000;
+      if (idle && supply(m.spot) - m.shape.cpus() >= target(m.spot)) {
+        discard(m, "idle");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Keys.java
@@ -0,0 +1,38 @@
+package org.snowturn.core;
+
+/**
+ * The names of the stored records. Every value carries its format's version as {@code v}; readers
+ * ignore fields they do not know.
+ */
+final class Keys {
+  static final String LEADER = "l/leader";
+  static final String LEADER_PREFIX = "l/";
+  static final String JOBS = "j/";
+  static final String OVER = "d/";
+  static final String TASKS = "t/";
+  static final String MACHINES = "m/";
+  static final String RESTARTS = "s/";
+  static final int VERSION = 1;
+
+  private Keys() {}
+
+  static String job(String id) {
+    return JOBS + id;
+  }
+
+  static String over(String id) {
+    return OVER + id;
+  }
+
+  static String tasks(String id, int chunk) {
+    return TASKS + id + "/" + chunk;
+  }
+
+  static String machine(String id) {
+    return MACHINES + id;
+  }
+
+  static String restarts(String id) {
+    return RESTARTS + id;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -0,0 +1,500 @@
+package org.snowturn.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.snowturn.config.Settings;
+import org.snowturn.config.Tunables;
+import org.snowturn.wire.Command;
+import org.snowturn.wire.Json;
+import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.Report;
+import org.snowturn.wire.StateMessage;
+
+/** One term of leadership: all that the leader knows and does under one token. */
+final class Leader implements Writer.Host, Outbox.Host {
+  private static final long SWEEP_MS = 250;
+  private static final long PROGRESS_MS = 1000;
+  private final Calls calls;
+  private final Settings settings;
+  private final Tunables tunables;
+  private final Election election;
+  private final Catalog catalog;
+  private final UserDesk desk;
+  private final long token;
+  private final long startedAt;
+
+  private final MachineBook machines;
+  private final Writer writer;
+  private final Ledger ledger;
+  private final Reports reports;
+  private final Placer placer;
+  private final Speculator speculator;
+  private final Fleet fleet;
+  private final Map<String, Writer.Slot> machineSlots = new HashMap<>();
+  private final Map<String, PeerRecord.Progress> told = new HashMap<>();
+  private List<StateMessage.Entry> loadedJobs = List.of();
+  private boolean loaded;
+  private boolean watching;
+  private boolean ended;
+  private long watchFrom;
+  private long watchRetryAt;
+  private long sweepAt;
+  private long progressAt;
+  private long specAt;
+
+  Leader(
+      Calls calls,
+      Settings settings,
+      Tunables tunables,
+      Election election,
+      Catalog catalog,
+      UserDesk desk) {
+    this.calls = calls;
+    this.settings = settings;
+    this.tunables = tunables;
+    this.election = election;
+    this.catalog = catalog;
+    this.desk = desk;
+    this.token = election.token();
+    this.startedAt = calls.now();
+    FleetPolicy policy = FleetPolicy.of(settings);
+    machines = new MachineBook(settings.zones(), m -> new Outbox(calls, this, m));
+    writer = new Writer(calls, this, settings.stateLimits());
+    ledger =
+        new Ledger(calls, settings, writer, machines, new Quota(settings.teams()), token);
+    reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
+    placer = new Placer(calls, ledger, machines, policy);
+    speculator = new Speculator(calls, tunables, ledger, machines, placer, writer);
+    fleet =
+        new Fleet(
+            calls, settings, tunables, catalog, machines, ledger, reports, policy, token);
+    load();
+  }
+
+  /** Nothing of this term may act any more. */
+  void end() {
+    ended = true;
+  }
+
+  @Override
+  public boolean hasAuthority() {
+    return !ended && election.hasAuthority() && election.token() == token;
+  }
+
+  @Override
+  public long token() {
+    return token;
+  }
+
+  @Override
+  public void leaderKeyLost() {
+    if (!ended) {
+      election.stepDown("the leader key is no longer ours");
+    }
+  }
+
+  @Override
+  public void guardFailed(String key) {
+    if (key.startsWith(Keys.JOBS)) {
+      ledger.refresh(key.substring(Keys.JOBS.length()));
+    }
+  }
+
+  boolean loaded() {
+    return loaded;
+  }
+
+  Map<String, Double> gauges() {
+    Map<String, Double> g = new HashMap<>();
+    int pending = 0;
+    int bound = 0;
+    for (Job j : ledger.jobs()) {
+      pending += j.pending;
+      bound += j.bound;
+    }
+    g.put("snowturn.jobs.live", (double) ledger.jobs().size());
+    g.put("snowturn.tasks.waiting", (double) pending);
+    g.put("snowturn.tasks.bound", (double) bound);
+    g.put("snowturn.machines", (double) machines.present().size());
+    g.put("snowturn.restarts", (double) speculator.restarts());
+    g.put("snowturn.writes.waiting", (double) writer.waiting());
+    return g;
+  }
+
+  // --- reading what earlier leaders left ---
+
+  private void load() {
+    Loader loader = new Loader(calls);
+    loader.read(
+        Keys.MACHINES,
+        ms -> {
+          if (ended) {
+            return;
+          }
+          ms.entries().forEach(this::loadMachine);
+          loader.read(
+              Keys.JOBS,
+              js -> {
+                watchFrom = js.epoch();
+                loadedJobs = js.entries();
+                loader.read(
+                    Keys.TASKS, ts -> loader.read(Keys.RESTARTS, ss -> loaded(ts, ss)));
+              });
+        });
+  }
+
+  private void loadMachine(StateMessage.Entry e) {
+    Machine m = machines.getOrCreate(e.key().substring(Keys.MACHINES.length()));
+    JsonNode v = e.value();
+    m.addr = v.path("addr").asText(null);
+    m.type = v.path("type").asText(null);
+    m.zone = machines.zone(v.path("zone").asText());
+    m.spot = v.path("spot").asBoolean();
+    m.shape = catalog.get(m.type);
+    m.lastAnswerAt = Math.max(m.lastAnswerAt, startedAt);
+    m.firstSeenAt = startedAt;
+    m.recorded = true;
+    machineSlot(m).stamp = e.stamp();
+  }
+
+  private void loaded(Loader.Range tasks, Loader.Range restarts) {
+    if (ended) {
+      return;
+    }
+    for (StateMessage.Entry e : loadedJobs) {
+      onJobRecord(e);
+    }
+    loadedJobs = List.of();
+    List<StateMessage.Change> orphans = new ArrayList<>();
+    for (StateMessage.Entry e : tasks.entries()) {
+      String rest = e.key().substring(Keys.TASKS.length());
+      int slash = rest.lastIndexOf('/');
+      Job j = ledger.job(rest.substring(0, slash));
+      if (j == null) {
+        orphans.add(StateMessage.Change.delete(e.key()));
+      } else {
+        ledger.loadChunk(j, Integer.parseInt(rest.substring(slash + 1)), e.value(), e.stamp());
+      }
+    }
+    for (StateMessage.Entry e : restarts.entries()) {
+      Job j = ledger.job(e.key().substring(Keys.RESTARTS.length()));
+      if (j != null) {
+        ledger.loadRestarts(j, e.value());
+        speculator.loaded(j, e.stamp());
+      }
+    }
+    ledger.dropLater(orphans);
+    for (Job j : ledger.jobs()) {
+      if (j.cancelled) {
+        for (int t = 0; t < j.state.length; t++) {
+          if (j.isBound(t)) {
+            ledger.stop(j, t);
+          }
+        }
+      }
+    }
+    loaded = true;
+    int bound = 0;
+    for (Job j : ledger.jobs()) {
+      bound += j.bound;
+    }
+    calls.note(
+        "took over " + ledger.jobs().size() + " jobs, " + bound + " tasks on machines, in "
+            + (calls.now() - startedAt) + " ms");
+    // Ask the machines at once what they run: their reports may take a while to find this node.
+    for (Machine m : machines.present()) {
+      for (long ref : Reports.copy(m.bound)) {
+        m.session = Math.max(m.session, ledger.job(ref).session[Ledger.task(ref)]);
+      }
+      if (m.session > 0 && m.addr != null) {
+        m.outbox.ask();
+      }
+    }
+    ledger.retryFinishing();
+  }
+
+  private void onJobRecord(StateMessage.Entry e) {
+    String id = e.key().substring(Keys.JOBS.length());
+    if (e.value() == null) {
+      Job j = ledger.job(id);
+      if (j != null && e.stamp() >= j.stamp) {
+        ledger.remove(id);
+      }
+      return;
+    }
+    Job known = ledger.job(id);
+    if (known != null && known.stamp >= e.stamp()) {
+      return;
+    }
+    try {
+      ledger.record(id, StoredJob.parse(e.value()), e.stamp());
+    } catch (MalformedException ex) {
+      calls.note("unusable record " + e.key() + ": " + ex.getMessage());
+    }
+  }
+
+  private void watchJobs() {
+    watching = true;
+    calls.call(
+        Effect.Target.STATE_WATCH,
+        null,
+        "GET",
+        "/watch?prefix=" + Keys.JOBS + "&since=" + watchFrom + "&hold_ms=10000",
+        null,
+        12000,
+        (outcome, status, body) -> {
+          watching = false;
+          if (ended) {
+            return;
+          }
+          if (outcome != Outcome.ANSWERED || status != 200) {
+            watchRetryAt = calls.now() + 200;
+            if (status == 410) {
+              reread();
+            }
+            return;
+          }
+          try {
+            StateMessage.events(body).forEach(this::onJobRecord);
+            watchFrom = Math.max(watchFrom, StateMessage.epoch(body));
+            ledger.retryFinishing();
+          } catch (MalformedException e) {
+            watchRetryAt = calls.now() + 200;
+          }
+        });
+  }
+
+  /** The watch's past is gone: read all jobs again. */
+  private void reread() {
+    watching = true;
+    new Loader(calls)
+        .read(
+            Keys.JOBS,
+            js -> {
+              if (ended) {
+                return;
+              }
+              watching = false;
+              watchFrom = js.epoch();
+              js.entries().forEach(this::onJobRecord);
+            });
+  }
+
+  // --- machines ---
+
+  private Writer.Slot machineSlot(Machine m) {
+    return machineSlots.computeIfAbsent(
+        m.id,
+        id ->
+            writer.slot(
+                Keys.machine(id),
+                0,
+                () ->
+                    m.gone
+                        ? null
+                        : Json.object()
+                            .put("v", Keys.VERSION)
+                            .put("addr", m.addr)
+                            .put("type", m.type)
+                            .put("zone", machines.zoneName(m.zone))
+                            .put("spot", m.spot),
+                () -> null));
+  }
+
+  void checkIn(long exchange, Report r) {
+    if (!hasAuthority()) {
+      calls.refuse(exchange, 503, 0);
+      return;
+    }
+    Machine m = machines.getOrCreate(r.machine());
+    if (m.gone || r.session() <= m.deadSession) {
+      // Deleted, or a session that has certainly ended: nothing may renew it.
+      calls.refuse(exchange, 503, 0);
+      return;
+    }
+    if (!loaded) {
+      m.lastAnswerAt = calls.now();
+      calls.answer(exchange, 200, Command.answer(token, List.of()));
+      return;
+    }
+    take(m, r);
+    List<Command> orders = reports.orders(m, r);
+    m.lastAnswerAt = calls.now();
+    calls.answer(exchange, 200, Command.answer(token, orders));
+  }
+
+  @Override
+  public void reported(Report r) {
+    Machine m = machines.find(r.machine());
+    if (!ended && loaded && m != null && !m.gone) {
+      m.probing = false;
+      take(m, r);
+    }
+  }
+
+  private void take(Machine m, Report r) {
+    if (m.addr == null || m.shape == null || !m.recorded) {
+      reports.describe(m, r);
+      if (m.firstSeenAt == 0) {
+        m.firstSeenAt = calls.now();
+      }
+    }
+    if (m.idleSince == 0) {
+      m.idleSince = calls.now();
+    }
+    if (!m.recorded && !m.recording && m.shape != null) {
+      m.recording = true;
+      writer.mark(
+          machineSlot(m),
+          0,
+          () -> {
+            m.recorded = true;
+            ledger.somethingChanged();
+          });
+    }
+    reports.apply(m, r);
+  }
+
+  @Override
+  public void unanswered(Machine m) {
+    if (m.probing) {
+      m.probing = false;
+      if (m.suspect && m.lastReportAt != Job.UNKNOWN && replaceable()) {
+        fleet.discard(m, "silent");
+      }
+      m.suspect = true;
+    }
+  }
+
+  /** Whether silence is the machines' own: where most are silent, this node is the one cut off. */
+  private boolean replaceable() {
+    int heard = 0;
+    int silent = 0;
+    for (Machine m : machines.present()) {
+      if (m.lastReportAt != Job.UNKNOWN && !m.deleting) {
+        if (calls.now() - m.lastReportAt > silentMs()) {
+          silent++;
+        } else {
+          heard++;
+        }
+      }
+    }
+    return calls.now() - startedAt > Reports.lapseMs(settings) && silent <= Math.max(2, heard * 2 / 3);
+  }
+
+  private long silentMs() {
+    return (long) (1000 * (settings.workers().reportS() * 1.25 + 1.2));
+  }
+
+  private void sweep() {
+    long now = calls.now();
+    int heard = 0;
+    int silent = 0;
+    for (Machine m : machines.present()) {
+      if (m.shape == null && m.type != null) {
+        m.shape = catalog.get(m.type);
+      }
+      reports.lapse(m);
+      if (m.lastReportAt == Job.UNKNOWN) {
+        if (m.bound.isEmpty() && m.recorded && now - startedAt > 2 * Reports.lapseMs(settings)
+            && m.listedAt == Job.UNKNOWN) {
+          m.gone = true;
+        }
+        continue;
+      }
+      boolean quiet = now - m.lastReportAt > silentMs();
+      silent += quiet && !m.deleting ? 1 : 0;
+      heard += quiet ? 0 : 1;
+      if (quiet && !m.probing && !m.deleting && m.addr != null) {
+        if (now > m.takenAt) {
+          if (replaceable()) {
+            fleet.discard(m, "taken back");
+          }
+        } else if (m.outbox.idle()) {
+          m.probing = true;
+          m.outbox.ask();
+        }
+      }
+    }
+    boolean cutOff = silent >= 3 && heard * 4 < silent;
+    if (cutOff && now - startedAt > 2 * Reports.lapseMs(settings) && !settings.peers().isEmpty()) {
+      election.resign("most machines are out of reach", 15_000);
+    }
+    for (Map.Entry<String, Writer.Slot> e : new ArrayList<>(machineSlots.entrySet())) {
+      Machine m = machines.find(e.getKey());
+      if (m.gone && m.bound.isEmpty() && !e.getValue().dirty && !e.getValue().inFlight) {
+        if (e.getValue().stamp == 0) {
+          writer.forget(e.getValue());
+          machineSlots.remove(e.getKey());
+        } else {
+          writer.mark(e.getValue(), 50, null);
+        }
+      }
+    }
+  }
+
+  // --- the loop ---
+
+  void tick() {
+    if (!loaded || ended) {
+      return;
+    }
+    long now = calls.now();
+    if (!watching && now >= watchRetryAt) {
+      watchJobs();
+    }
+    if (!hasAuthority()) {
+      return;
+    }
+    if (now >= sweepAt) {
+      sweepAt = now + SWEEP_MS;
+      sweep();
+      fleet.tick();
+      ledger.somethingChanged();
+      ledger.retryFinishing();
+    }
+    if (catalog.known() && ledger.takeChanged()) {
+      boolean room = placer.plan();
+      if (room && now >= specAt) {
+        specAt = now + 500;
+        speculator.consider();
+      }
+    }
+    if (now >= progressAt) {
+      progressAt = now + PROGRESS_MS;
+      tellProgress();
+    }
+    flush();
+  }
+
+  /** Sends what has been decided. */
+  void flush() {
+    if (ended) {
+      return;
+    }
+    writer.flush();
+    for (Machine m : machines.present()) {
+      if (m.addr != null) {
+        m.outbox.flush();
+      }
+    }
+  }
+
+  private void tellProgress() {
+    told.keySet().removeIf(id -> ledger.job(id) == null);
+    for (Job j : ledger.jobs()) {
+      int running = 0;
+      for (int t = 0; t < j.state.length && j.bound > 0; t++) {
+        running += j.state[t] == Job.RUNNING ? 1 : 0;
+      }
+      PeerRecord.Progress p = new PeerRecord.Progress(j.spec.id(), j.done, running);
+      if (!p.equals(told.put(j.spec.id(), p))) {
+        desk.progress(p);
+        calls.toPeers(p);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Loader.java
@@ -0,0 +1,68 @@
+package org.snowturn.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.StateMessage;
+
+/** Reads whole ranges of the state service, page by page, until it has them. */
+final class Loader {
+  private static final int PAGE = 500;
+  private final Calls calls;
+
+  Loader(Calls calls) {
+    this.calls = calls;
+  }
+
+  /** All keys of a range; {@code epoch} is the oldest revision that any page showed. */
+  record Range(List<StateMessage.Entry> entries, long epoch) {}
+
+  void read(String prefix, Consumer<Range> then) {
+    page(prefix, null, new ArrayList<>(), Long.MAX_VALUE, then);
+  }
+
+  private void page(
+      String prefix,
+      String since,
+      List<StateMessage.Entry> sofar,
+      long epoch,
+      Consumer<Range> then) {
+    String path =
+        "/kv?prefix=" + prefix + "&most=" + PAGE + (since == null ? "" : "&since=" + since);
+    calls.state(
+        "GET",
+        path,
+        null,
+        2500,
+        (outcome, status, body) -> {
+          if (outcome == Outcome.ANSWERED && status == 200) {
+            try {
+              take(prefix, body, sofar, epoch, then);
+              return;
+            } catch (MalformedException e) {
+              calls.note("unusable page of " + prefix + ": " + e.getMessage());
+            }
+          }
+          page(prefix, since, sofar, epoch, then);
+        });
+  }
+
+  private void take(
+      String prefix,
+      JsonNode body,
+      List<StateMessage.Entry> sofar,
+      long epoch,
+      Consumer<Range> then)
+      throws MalformedException {
+    List<StateMessage.Entry> got = StateMessage.entries(body);
+    long oldest = Math.min(epoch, StateMessage.epoch(body));
+    sofar.addAll(got);
+    if (StateMessage.more(body) && !got.isEmpty()) {
+      page(prefix, got.get(got.size() - 1).key(), sofar, oldest, then);
+    } else {
+      then.accept(new Range(sofar, oldest));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -0,0 +1,141 @@
+package org.snowturn.core;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.agrona.collections.LongHashSet;
+import org.snowturn.wire.CloudMachine;
+import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.MachineType;
+
+/** A machine as the leader sees it: its session, what may be on it, and how it has been doing. */
+final class Machine {
+  final int index;
+  final String id;
+  String addr;
+  String type;
+  int zone;
+  boolean spot;
+  MachineType shape;
+
+  long session;
+  long seq = -1;
+
+  /** The highest session in which everything has certainly ended. */
+  long deadSession = -1;
+
+  long lastReportAt = Job.UNKNOWN;
+
+  /** When a 200 that may have renewed the lease could last have been sent, by any leader. */
+  long lastAnswerAt;
+
+  /** Whether a report in the current session carried this leader's token. */
+  boolean acknowledged;
+
+  boolean recorded;
+  boolean recording;
+  boolean gone;
+  boolean deleting;
+  long deleteRetryAt;
+  boolean probing;
+  boolean suspect;
+  boolean sick;
+  boolean returning;
+  long takenAt = Long.MAX_VALUE;
+  long firstSeenAt;
+  long listedAt = Job.UNKNOWN;
+  CloudMachine.State cloudState = CloudMachine.State.STARTING;
+  long blockedUntil;
+  long idleSince;
+  long preemptingUntil;
+
+  double cpusUsed;
+  double gpusUsed;
+  double memoryUsed;
+  final LongHashSet bound = new LongHashSet();
+
+  /** Images that the machine should have, most recently used last, with their sizes. */
+  final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+
+  int errorsInRow;
+  int lastErrorJob = -1;
+  int errorJobs;
+  double workDone;
+  private final double[] ratios = new double[32];
+  private int ratioCount;
+
+  /** Attempts whose direct start got no answer: it may still arrive, so they are never forgotten. */
+  final LongHashSet startsInDoubt = new LongHashSet();
+
+  Outbox outbox;
+
+  Machine(int index, String id) {
+    this.index = index;
+    this.id = id;
+  }
+
+  boolean hasRoom(JobSpec s) {
+    return shape != null
+        && cpusUsed + s.cpus() <= shape.cpus() + 1e-6
+        && gpusUsed + s.gpus() <= shape.gpus() + 1e-6
+        && memoryUsed + s.memoryGb() <= shape.memoryGb() + 1e-6;
+  }
+
+  double cpusFree() {
+    return shape == null ? 0 : shape.cpus() - cpusUsed;
+  }
+
+  void use(JobSpec s, int sign) {
+    cpusUsed += sign * s.cpus();
+    gpusUsed += sign * s.gpus();
+    memoryUsed += sign * s.memoryGb();
+    if (bound.isEmpty()) {
+      cpusUsed = 0;
+      gpusUsed = 0;
+      memoryUsed = 0;
+    }
+  }
+
+  /** Whether new work may go there. */
+  boolean usable(long now) {
+    return !gone
+        && !deleting
+        && !sick
+        && !returning
+        && !suspect
+        && acknowledged
+        && recorded
+        && shape != null
+        && takenAt == Long.MAX_VALUE
+        && now >= blockedUntil;
+  }
+
+  void touchImage(String image, double gb) {
+    images.put(image, gb);
+    double total = 0;
+    for (double g : images.values()) {
+      total += g;
+    }
+    var oldest = images.entrySet().iterator();
+    double cache = shape == null ? Double.MAX_VALUE : shape.cacheGb();
+    while (total > cache && images.size() > 1 && oldest.hasNext()) {
+      total -= oldest.next().getValue();
+      oldest.remove();
+    }
+  }
+
+  void finishedWork(double ratio) {
+    ratios[ratioCount++ % ratios.length] = ratio;
+    workDone += 1;
+  }
+
+  /** The median of finished run times over their arrays' medians; 1 before there are any. */
+  double slowness() {
+    int n = Math.min(ratioCount, ratios.length);
+    if (n == 0) {
+      return 1;
+    }
+    double[] sorted = java.util.Arrays.copyOf(ratios, n);
+    java.util.Arrays.sort(sorted);
+    return sorted[n / 2];
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/MachineBook.java
@@ -0,0 +1,71 @@
+package org.snowturn.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/** All machines, by name at the door and by dense index inside; likewise the zones. */
+final class MachineBook {
+  private final Map<String, Integer> byId = new HashMap<>();
+  private final List<Machine> all = new ArrayList<>();
+  private final List<String> zoneNames;
+  private final Function<Machine, Outbox> outboxes;
+
+  MachineBook(List<String> zones, Function<Machine, Outbox> outboxes) {
+    this.zoneNames = List.copyOf(zones);
+    this.outboxes = outboxes;
+  }
+
+  /** The zone's index; all zones that the settings do not name share the last one. */
+  int zone(String name) {
+    int i = zoneNames.indexOf(name);
+    return i >= 0 ? i : zoneNames.size();
+  }
+
+  boolean zoneKnown(int zone) {
+    return zone < zoneNames.size();
+  }
+
+  String zoneName(int zone) {
+    return zoneKnown(zone) ? zoneNames.get(zone) : "?";
+  }
+
+  /** How many indices there are, the last one for unknown zones. */
+  int zoneCount() {
+    return zoneNames.size() + 1;
+  }
+
+  Machine find(String id) {
+    Integer i = byId.get(id);
+    return i == null ? null : all.get(i);
+  }
+
+  Machine get(int index) {
+    return all.get(index);
+  }
+
+  Machine getOrCreate(String id) {
+    Machine m = find(id);
+    if (m == null) {
+      m = new Machine(all.size(), id);
+      m.zone = zoneNames.size();
+      m.outbox = outboxes.apply(m);
+      all.add(m);
+      byId.put(id, m.index);
+    }
+    return m;
+  }
+
+  /** The machines that are not known to be gone. */
+  List<Machine> present() {
+    List<Machine> out = new ArrayList<>();
+    for (Machine m : all) {
+      if (!m.gone) {
+        out.add(m);
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Outbox.java
@@ -0,0 +1,103 @@
+package org.snowturn.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.snowturn.wire.Command;
+import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.Report;
+
+/**
+ * Direct commands to one machine, one message at a time. What gets no answer is not repeated here:
+ * the next report's response carries every command that still matters.
+ */
+final class Outbox {
+  private static final int TIMEOUT_MS = 2000;
+
+  /** What the outbox needs of the leader. */
+  interface Host {
+    boolean hasAuthority();
+
+    long token();
+
+    void reported(Report report);
+
+    void unanswered(Machine m);
+  }
+
+  private final Calls calls;
+  private final Host host;
+  private final Machine machine;
+  private final Map<String, Command> queue = new LinkedHashMap<>();
+  private boolean busy;
+  private boolean probe;
+
+  Outbox(Calls calls, Host host, Machine machine) {
+    this.calls = calls;
+    this.host = host;
+    this.machine = machine;
+  }
+
+  void add(Command c) {
+    queue.put(c.op() + c.job() + "/" + c.task() + "#" + c.attempt(), c);
+  }
+
+  /** Sends a message even without commands, to learn what the machine runs. */
+  void ask() {
+    probe = true;
+  }
+
+  void drop() {
+    queue.clear();
+  }
+
+  boolean idle() {
+    return !busy && queue.isEmpty();
+  }
+
+  void flush() {
+    if (busy || (queue.isEmpty() && !probe) || machine.gone || !host.hasAuthority()) {
+      return;
+    }
+    List<Command> commands = new ArrayList<>(queue.values());
+    queue.clear();
+    probe = false;
+    busy = true;
+    // From here until an answer the starts may be executed at any later time of the session.
+    List<Long> doubts = new ArrayList<>();
+    for (Command c : commands) {
+      if (c.op() == Command.Op.START && machine.startsInDoubt.add(c.attempt())) {
+        doubts.add(c.attempt());
+      }
+    }
+    calls.call(
+        Effect.Target.WORKER,
+        machine.addr,
+        "POST",
+        "/commands",
+        Command.direct(host.token(), machine.session, commands),
+        TIMEOUT_MS,
+        (outcome, status, body) -> answered(doubts, outcome, status, body));
+  }
+
+  private void answered(List<Long> doubts, Outcome outcome, int status, JsonNode body) {
+    busy = false;
+    boolean settled =
+        outcome == Outcome.REFUSED || (outcome == Outcome.ANSWERED && status < 500);
+    if (settled) {
+      // An earlier copy that got no answer keeps its doubt: only this message's own are settled.
+      doubts.forEach(a -> machine.startsInDoubt.remove(a.longValue()));
+    }
+    if (outcome == Outcome.ANSWERED && (status == 200 || status == 409)) {
+      try {
+        host.reported(Report.parse(body));
+        return;
+      } catch (MalformedException e) {
+        calls.note("report of " + machine.id + " ignored: " + e.getMessage());
+      }
+    }
+    host.unanswered(machine);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -0,0 +1,223 @@
+package org.snowturn.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.Priority;
+
+/**
+ * Decides which waiting task goes where. Constraints are tested against every task that may still
+ * be on a machine, so they hold at the instant of the start whatever became of the others.
+ */
+final class Placer {
+  /** Seconds of preference for machines that the cloud may take back, where a job allows them. */
+  private static final double ORDINARY_PENALTY_S = 10;
+
+  /** Share of an ordinary machine kept free of arrays, for services to start at once. */
+  private static final double SERVICE_RESERVE = 0.25;
+
+  private final Calls calls;
+  private final Ledger ledger;
+  private final MachineBook machines;
+  private final FleetPolicy policy;
+
+  Placer(Calls calls, Ledger ledger, MachineBook machines, FleetPolicy policy) {
+    this.calls = calls;
+    this.ledger = ledger;
+    this.machines = machines;
+    this.policy = policy;
+  }
+
+  /** Places what fits; tells whether every waiting task was placed or cannot be placed now. */
+  boolean plan() {
+    long now = calls.now();
+    List<Machine> usable = new ArrayList<>();
+    for (Machine m : machines.present()) {
+      if (m.usable(now) && machines.zoneKnown(m.zone)) {
+        usable.add(m);
+      }
+    }
+    List<Job> waiting = new ArrayList<>();
+    for (Job j : ledger.jobs()) {
+      if (j.pending > 0 && !j.cancelled && now >= j.backOffUntil) {
+        waiting.add(j);
+      }
+    }
+    double wall = calls.wall();
+    waiting.sort(
+        Comparator.<Job>comparingInt(j -> j.spec.priority().ordinal())
+            .thenComparingInt(j -> j.spec.service() ? 0 : 1)
+            .thenComparingInt(j -> j.dueWall(1.5) < wall ? 1 : 0)
+            .thenComparingDouble(j -> j.dueWall(1))
+            .thenComparingLong(j -> j.submittedWall)
+            .thenComparing(j -> j.spec.id()));
+    boolean room = true;
+    for (Job j : waiting) {
+      if (!placeJob(j, usable)) {
+        room = false;
+        makeRoom(j, usable);
+      }
+    }
+    return room;
+  }
+
+  private boolean placeJob(Job j, List<Machine> usable) {
+    while (j.pending > 0) {
+      int t = j.nextPending();
+      if (!ledger.quota().allows(j.spec)) {
+        return true; // waits for its own team, not for room
+      }
+      Machine best = null;
+      double bestScore = Double.MAX_VALUE;
+      for (Machine m : usable) {
+        if (fits(j, m) && j.avoid.get(t) != m.index) {
+          double score = score(j, m);
+          if (score < bestScore) {
+            best = m;
+            bestScore = score;
+          }
+        }
+      }
+      if (best == null) {
+        return false;
+      }
+      ledger.bind(j, t, best);
+    }
+    return true;
+  }
+
+  /** Whether the job's constraints allow one more task of it on the machine, room aside. */
+  boolean allowed(Job j, Machine m) {
+    JobSpec s = j.spec;
+    if (m.spot && !s.spot()) {
+      return false;
+    }
+    if (s.types() != null && !s.types().contains(m.type)) {
+      return false;
+    }
+    if (s.zone() != null && machines.zone(s.zone()) != m.zone) {
+      return false;
+    }
+    if (s.spread() && j.boundInZone[m.zone] >= s.perZoneLimit()) {
+      return false;
+    }
+    return !s.oneZone() || j.bound == j.boundInZone[m.zone];
+  }
+
+  private boolean fits(Job j, Machine m) {
+    if (!m.hasRoom(j.spec) || !allowed(j, m)) {
+      return false;
+    }
+    boolean intoReserve =
+        !m.spot
+            && !j.spec.service()
+            && j.spec.priority() != Priority.PRODUCTION
+            && m.cpusFree() - j.spec.cpus() < m.shape.cpus() * SERVICE_RESERVE;
+    return !intoReserve;
+  }
+
+  /** Seconds, roughly, that the task loses by going there, plus what the choice costs others. */
+  double score(Job j, Machine m) {
+    JobSpec s = j.spec;
+    double score = 0;
+    if (!m.images.containsKey(s.image())) {
+      score += s.imageGb() / Math.max(0.01, m.shape.fetchGbPerS());
+    }
+    if (s.service()) {
+      // Replicas of one job apart, and away from machines that are nearly full.
+      score += 5.0 * onMachine(j, m);
+      score += 1.5 * j.boundInZone[m.zone];
+    } else {
+      if (!m.spot) {
+        score += ORDINARY_PENALTY_S;
+      }
+      score += s.estimateS() * Math.max(-0.5, m.slowness() - 1);
+    }
+    double free = m.cpusFree() / m.shape.cpus();
+    // Where money is an aim the fullest machine is best, so that others can be returned.
+    score += policy.generous() ? 1.0 * (1 - free) : 3.0 * free;
+    if (m.errorsInRow > 0) {
+      score += 20;
+    }
+    return score;
+  }
+
+  private int onMachine(Job j, Machine m) {
+    int n = 0;
+    for (int t = 0; t < j.state.length; t++) {
+      if (j.machine[t] == m.index) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  /** Stops tasks of lower priority where that lets a task of this job start. */
+  private void makeRoom(Job j, List<Machine> usable) {
+    if (j.spec.priority() == Priority.LOW || !ledger.quota().allows(j.spec)) {
+      return;
+    }
+    long now = calls.now();
+    Machine best = null;
+    List<Long> bestVictims = List.of();
+    double bestScore = Double.MAX_VALUE;
+    for (Machine m : usable) {
+      if (now < m.preemptingUntil) {
+        return; // room is being made already; see what it brings first
+      }
+      if (!allowed(j, m)) {
+        continue;
+      }
+      List<Long> victims = victims(j, m);
+      if (victims == null) {
+        continue;
+      }
+      double score = score(j, m) + 10.0 * victims.size();
+      if (score < bestScore) {
+        best = m;
+        bestVictims = victims;
+        bestScore = score;
+      }
+    }
+    if (best == null) {
+      return;
+    }
+    best.preemptingUntil = now + 1500;
+    for (long ref : bestVictims) {
+      Job v = ledger.job(ref);
+      calls.note(
+          v.spec.id() + "/" + Ledger.task(ref) + " stopped on " + best.id + " for " + j.spec.id());
+      ledger.stop(v, Ledger.task(ref));
+    }
+  }
+
+  /** The tasks whose end would make room, least loss first; null if there are not enough. */
+  private List<Long> victims(Job j, Machine m) {
+    double cpus = j.spec.cpus() - m.cpusFree();
+    double memory = j.spec.memoryGb() - (m.shape.memoryGb() - m.memoryUsed);
+    double gpus = j.spec.gpus() - (m.shape.gpus() - m.gpusUsed);
+    List<Long> candidates = new ArrayList<>();
+    for (long ref : Reports.copy(m.bound)) {
+      Job v = ledger.job(ref);
+      if (v.spec.priority().compareTo(j.spec.priority()) > 0) {
+        candidates.add(ref);
+      }
+    }
+    candidates.sort(
+        Comparator.<Long>comparingInt(r -> -ledger.job(r).spec.priority().ordinal())
+            .thenComparingLong(r -> -ledger.job(r).since[Ledger.task(r)]));
+    List<Long> out = new ArrayList<>();
+    for (long ref : candidates) {
+      if (cpus <= 1e-6 && memory <= 1e-6 && gpus <= 1e-6) {
+        break;
+      }
+      Job v = ledger.job(ref);
+      cpus -= v.spec.cpus();
+      memory -= v.spec.memoryGb();
+      gpus -= v.spec.gpus();
+      out.add(ref);
+    }
+    return cpus <= 1e-6 && memory <= 1e-6 && gpus <= 1e-6 ? out : null;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Quota.java
@@ -0,0 +1,55 @@
+package org.snowturn.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.snowturn.config.Settings;
+import org.snowturn.wire.JobSpec;
+
+/** What each team's tasks use, counting every task that may be on a machine. */
+final class Quota {
+  private static final double SLACK = 1e-6;
+
+  private static final class Use {
+    final Settings.Team team;
+    double cpus;
+    double gpus;
+
+    Use(Settings.Team team) {
+      this.team = team;
+    }
+  }
+
+  private final Map<String, Use> teams = new HashMap<>();
+
+  Quota(Iterable<Settings.Team> teams) {
+    for (Settings.Team t : teams) {
+      this.teams.put(t.name(), new Use(t));
+    }
+  }
+
+  /** Whether an amount is above a limit; a limit of 0 means none. */
+  static boolean exceeds(double amount, double limit) {
+    return limit > 0 && amount > limit + SLACK;
+  }
+
+  boolean allows(JobSpec s) {
+    Use u = teams.get(s.team());
+    return u == null
+        || !(exceeds(u.cpus + s.cpus(), u.team.cpusMax())
+            || exceeds(u.gpus + s.gpus(), u.team.gpusMax()));
+  }
+
+  void take(JobSpec s) {
+    add(s, 1);
+  }
+
+  void give(JobSpec s) {
+    add(s, -1);
+  }
+
+  private void add(JobSpec s, int sign) {
+    Use u = teams.computeIfAbsent(s.team(), n -> new Use(new Settings.Team(n, 0, 0, 0, 0)));
+    u.cpus += sign * s.cpus();
+    u.gpus += sign * s.gpus();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -0,0 +1,287 @@
+package org.snowturn.core;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.agrona.collections.LongArrayList;
+import org.agrona.collections.LongHashSet;
+import org.snowturn.config.Settings;
+import org.snowturn.config.Tunables;
+import org.snowturn.wire.Command;
+import org.snowturn.wire.Report;
+import org.snowturn.wire.TaskReport;
+
+/**
+ * Turns workers' reports into knowledge. What a report lists is believed in the order (session,
+ * seq); what it does not list proves something only when it carries this leader's token, because
+ * only then can no start of an earlier leader still be executed.
+ */
+final class Reports {
+  private static final double DRIFT = 0.001;
+  private static final long LAPSE_MARGIN_MS = 600;
+  private final Calls calls;
+  private final Settings settings;
+  private final Tunables tunables;
+  private final Ledger ledger;
+  private final MachineBook machines;
+  private final Catalog catalog;
+  private final long token;
+
+  Reports(
+      Calls calls,
+      Settings settings,
+      Tunables tunables,
+      Ledger ledger,
+      MachineBook machines,
+      Catalog catalog,
+      long token) {
+    this.calls = calls;
+    this.settings = settings;
+    this.tunables = tunables;
+    this.ledger = ledger;
+    this.machines = machines;
+    this.catalog = catalog;
+    this.token = token;
+  }
+
+  /** How long after the last answer a machine's session has certainly ended. */
+  static long lapseMs(Settings s) {
+    return (long) (s.workers().leaseS() * 1000 * (1 + DRIFT)) + LAPSE_MARGIN_MS;
+  }
+
+  /** Believes a report if it is the newest of its machine. */
+  boolean apply(Machine m, Report r) {
+    if (r.session() < m.session || (r.session() == m.session && r.seq() <= m.seq)) {
+      return false;
+    }
+    if (r.session() <= m.deadSession) {
+      return false; // a late report of a session that has lapsed
+    }
+    if (r.session() > m.session) {
+      m.session = r.session();
+      m.acknowledged = false;
+      m.startsInDoubt.clear();
+      m.outbox.drop();
+      m.errorsInRow = 0;
+      endSessionsBefore(m, r.session());
+    }
+    m.seq = r.seq();
+    m.lastReportAt = calls.now();
+    m.suspect = false;
+    boolean mine = r.token() == token;
+    if (mine && !m.acknowledged) {
+      m.acknowledged = true;
+      ledger.somethingChanged();
+    }
+    if (!Double.isNaN(r.noticeS())) {
+      if (m.takenAt == Long.MAX_VALUE) {
+        calls.note(m.id + " is to be taken in " + r.noticeS() + " s");
+      }
+      m.takenAt = calls.now() + (long) (1000 * Math.max(0, r.noticeS()));
+    }
+    LongHashSet listed = new LongHashSet();
+    for (TaskReport t : r.tasks()) {
+      Job j = ledger.job(t.job());
+      if (j == null || t.task() >= j.state.length) {
+        continue;
+      }
+      if (j.isBound(t.task())
+          && j.machine[t.task()] == m.index
+          && j.attempt[t.task()] == t.attempt()
+          && j.state[t.task()] != Job.PLACING) {
+        listed.add(Job.ref(j.index, t.task()));
+        seen(m, j, t, mine);
+      } else if (mine
+          && t.why() == TaskReport.Why.DONE
+          && j.state[t.task()] == Job.PENDING
+          && !j.cancelled) {
+        ledger.complete(j, t.task());
+      }
+    }
+    if (mine) {
+      releaseUnlistedInherited(m, listed);
+    }
+    return true;
+  }
+
+  private void endSessionsBefore(Machine m, long session) {
+    for (long ref : copy(m.bound)) {
+      Job j = ledger.job(ref);
+      int t = Ledger.task(ref);
+      if (j.session[t] < session) {
+        ledger.release(j, t);
+      }
+    }
+  }
+
+  private void releaseUnlistedInherited(Machine m, LongHashSet listed) {
+    for (long ref : copy(m.bound)) {
+      Job j = ledger.job(ref);
+      int t = Ledger.task(ref);
+      if (j.inherited.get(t) && !listed.contains(ref) && j.session[t] <= m.session) {
+        ledger.release(j, t);
+      }
+    }
+  }
+
+  static long[] copy(LongHashSet set) {
+    LongArrayList out = new LongArrayList(set.size(), Long.MIN_VALUE);
+    LongHashSet.LongIterator it = set.iterator();
+    while (it.hasNext()) {
+      out.addLong(it.nextValue());
+    }
+    return out.toLongArray();
+  }
+
+  private void seen(Machine m, Job j, TaskReport r, boolean mine) {
+    int t = r.task();
+    switch (r.state()) {
+      case FETCHING -> j.state[t] = Job.FETCHING;
+      case RUNNING, SAVING -> {
+        if (j.state[t] != Job.RUNNING) {
+          // Times of tasks that an earlier leader started are unknown, so they never look slow.
+          j.since[t] = j.inherited.get(t) ? Job.UNKNOWN : calls.now();
+          j.state[t] = Job.RUNNING;
+        }
+        m.touchImage(j.spec.image(), j.spec.imageGb());
+      }
+      case ENDED -> {
+        if (mine) {
+          ended(m, j, t, r.why());
+        }
+      }
+      default -> {}
+    }
+    if (mine && j.isBound(t)) {
+      // Seen under this token: from now on only its own end releases it.
+      j.inherited.clear(t);
+    }
+  }
+
+  private void ended(Machine m, Job j, int t, TaskReport.Why why) {
+    long now = calls.now();
+    switch (why) {
+      case DONE -> {
+        if (j.since[t] != Job.UNKNOWN) {
+          double ran = (now - j.since[t]) / 1000.0;
+          j.runTimes.add(ran);
+          double median = j.median();
+          m.finishedWork(median > 0 && j.runTimes.size() > 1 ? ran / median : 1);
+        }
+        m.errorsInRow = 0;
+        m.errorJobs = 0;
+        m.lastErrorJob = -1;
+        j.failures = 0;
+        ledger.complete(j, t);
+        return;
+      }
+      case ERROR -> {
+        m.errorsInRow++;
+        if (m.lastErrorJob != j.index) {
+          m.errorJobs++;
+          m.lastErrorJob = j.index;
+        }
+        j.failures++;
+        calls.note(j.spec.id() + "/" + t + " failed on " + m.id);
+        if (m.errorsInRow >= tunables.sickErrors() && m.errorJobs >= 2 && !m.sick) {
+          m.sick = true;
+          calls.note(m.id + " taken out of use: " + m.errorsInRow + " failures in a row");
+        } else {
+          m.blockedUntil = now + Math.min(30_000, 2_000L << Math.min(4, m.errorsInRow));
+        }
+        if (j.failures >= 4) {
+          // Failing wherever it runs: its user's mistake, most likely.
+          j.backOffUntil = now + Math.min(30_000, 500L << Math.min(6, j.failures - 4));
+        }
+      }
+      case NO_ROOM, BUSY -> m.blockedUntil = now + 1_500;
+      case UNKNOWN_JOB -> j.backOffUntil = now + 2_000;
+      default -> {}
+    }
+    ledger.release(j, t);
+  }
+
+  /** What the worker is to do, by what it has just reported. */
+  List<Command> orders(Machine m, Report r) {
+    List<Command> out = new ArrayList<>();
+    if (r.session() != m.session || r.seq() != m.seq) {
+      return out;
+    }
+    Set<Long> listed = new HashSet<>();
+    for (TaskReport t : r.tasks()) {
+      Job j = ledger.job(t.job());
+      boolean known = j != null && t.task() < j.state.length;
+      boolean bound =
+          known
+              && j.isBound(t.task())
+              && j.machine[t.task()] == m.index
+              && j.attempt[t.task()] == t.attempt();
+      if (bound) {
+        listed.add(Job.ref(j.index, t.task()));
+        if (j.stopping.get(t.task()) && t.state() != TaskReport.State.ENDED) {
+          out.add(ledger.stopCommand(j, t.task()));
+        }
+      } else if (t.state() != TaskReport.State.ENDED) {
+        out.add(new Command(Command.Op.STOP, t.job(), t.task(), t.attempt(), 0));
+      } else if (r.token() == token
+          && !m.startsInDoubt.contains(t.attempt())
+          && ledger.forgettable(t.job(), t.task(), t.attempt())) {
+        out.add(new Command(Command.Op.FORGET, t.job(), t.task(), t.attempt(), 0));
+      }
+    }
+    for (long ref : copy(m.bound)) {
+      Job j = ledger.job(ref);
+      int t = Ledger.task(ref);
+      if (listed.contains(ref) || j.session[t] != m.session || j.inherited.get(t)) {
+        continue;
+      }
+      if (j.state[t] != Job.PLACING) {
+        // Repeated until listed: a start does nothing where the attempt is known already.
+        out.add(ledger.start(j, t));
+        if (j.stopping.get(t)) {
+          out.add(ledger.stopCommand(j, t));
+        }
+      }
+    }
+    return out;
+  }
+
+  /** Releases what was on machines whose session has certainly ended. */
+  void lapse(Machine m) {
+    if (m.bound.isEmpty() || calls.now() < m.lastAnswerAt + lapseMs(settings)) {
+      return;
+    }
+    calls.note(m.id + " silent past its lease: " + m.bound.size() + " tasks wait again");
+    m.deadSession = Math.max(m.deadSession, m.session);
+    for (long ref : copy(m.bound)) {
+      m.deadSession = Math.max(m.deadSession, ledger.job(ref).session[Ledger.task(ref)]);
+    }
+    m.acknowledged = false;
+    releaseAll(m);
+  }
+
+  /** Releases everything on a machine that is gone or whose sessions so far have ended. */
+  void releaseAll(Machine m) {
+    for (long ref : copy(m.bound)) {
+      ledger.release(ledger.job(ref), Ledger.task(ref));
+    }
+    m.outbox.drop();
+  }
+
+  /** Takes a machine's description from its report. */
+  void describe(Machine m, Report r) {
+    m.addr = r.addr();
+    m.type = r.type();
+    m.spot = r.spot();
+    m.shape = catalog.get(r.type());
+    int zone = machines.zone(r.zone());
+    if (zone != m.zone) {
+      for (long ref : copy(m.bound)) {
+        ledger.job(ref).boundInZone[m.zone]--;
+        ledger.job(ref).boundInZone[zone]++;
+      }
+      m.zone = zone;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Writer.java
@@ -0,0 +1,318 @@
+package org.snowturn.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.snowturn.config.Settings;
+import org.snowturn.wire.Json;
+import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.StateMessage;
+import org.snowturn.wire.StateMessage.Change;
+import org.snowturn.wire.StateMessage.Condition;
+
+/**
+ * Groups the leader's writes into transactions within the state service's limits.
+ *
+ * <p>Every transaction carries the leader key's version, and each key's own last version: one that
+ * is executed late, after this leader has lost its place or has written the key again, changes
+ * nothing. A reply that never came is settled by reading.
+ */
+final class Writer {
+  /** Shares of the write budget left to the users of all nodes. */
+  private static final double SHARE = 0.75;
+
+  private static final int TIMEOUT_MS = 1500;
+  private static final int IN_FLIGHT = 3;
+  private static final int MAX_BYTES = 40_000;
+
+  /** One key that the leader writes. */
+  static final class Slot {
+    final String key;
+    final Supplier<JsonNode> content;
+    final Supplier<Condition> guard;
+    long stamp;
+    boolean dirty;
+    boolean inFlight;
+    int urgency = Integer.MAX_VALUE;
+    List<Runnable> onDurable = new ArrayList<>();
+
+    private Slot(String key, long stamp, Supplier<JsonNode> content, Supplier<Condition> guard) {
+      this.key = key;
+      this.stamp = stamp;
+      this.content = content;
+      this.guard = guard;
+    }
+  }
+
+  /** A transaction of its own that ends a job. */
+  private record Special(List<Condition> when, List<Change> apply, Calls.Then then) {}
+
+  /** What the writer needs of the leader. */
+  interface Host {
+    boolean hasAuthority();
+
+    long token();
+
+    void leaderKeyLost();
+
+    void guardFailed(String key);
+  }
+
+  private final Calls calls;
+  private final Host host;
+  private final Settings.StateLimits limits;
+  private final Map<String, Slot> slots = new HashMap<>();
+  private final TreeMap<Integer, LinkedHashMap<String, Slot>> dirty = new TreeMap<>();
+  private final ArrayDeque<Special> specials = new ArrayDeque<>();
+  private double budget;
+  private long filledAt;
+  private int inFlight;
+  private long pauseUntil;
+
+  Writer(Calls calls, Host host, Settings.StateLimits limits) {
+    this.calls = calls;
+    this.host = host;
+    this.limits = limits;
+    this.budget = limits.writeRps() * SHARE;
+    this.filledAt = calls.now();
+  }
+
+  Slot slot(String key, long stamp, Supplier<JsonNode> content, Supplier<Condition> guard) {
+    return slots.computeIfAbsent(key, k -> new Slot(k, stamp, content, guard));
+  }
+
+  void forget(Slot s) {
+    unqueue(s);
+    slots.remove(s.key);
+  }
+
+  /** Asks for the slot's content to be written; smaller urgencies go first. */
+  void mark(Slot s, int urgency, Runnable onDurable) {
+    if (onDurable != null) {
+      s.onDurable.add(onDurable);
+    }
+    if (!s.dirty || urgency < s.urgency) {
+      unqueue(s);
+      s.dirty = true;
+      s.urgency = urgency;
+      dirty.computeIfAbsent(urgency, u -> new LinkedHashMap<>()).put(s.key, s);
+    }
+  }
+
+  /** Queues one whole transaction, ahead of all slots; the leader key's condition is added. */
+  void whole(List<Condition> when, List<Change> apply, Calls.Then then) {
+    specials.add(new Special(when, apply, then));
+  }
+
+  /** Takes a slot out of the queue: its content is about to be removed. */
+  void clear(Slot s) {
+    unqueue(s);
+    s.onDurable.clear();
+  }
+
+  private void unqueue(Slot s) {
+    if (s.dirty) {
+      LinkedHashMap<String, Slot> queue = dirty.get(s.urgency);
+      queue.remove(s.key);
+      if (queue.isEmpty()) {
+        dirty.remove(s.urgency);
+      }
+      s.dirty = false;
+      s.urgency = Integer.MAX_VALUE;
+    }
+  }
+
+  int waiting() {
+    int n = 0;
+    for (var q : dirty.values()) {
+      n += q.size();
+    }
+    return n;
+  }
+
+  void flush() {
+    long now = calls.now();
+    double rate = limits.writeRps() * SHARE;
+    budget = Math.min(rate, budget + rate * (now - filledAt) / 1000.0);
+    filledAt = now;
+    while (inFlight < IN_FLIGHT && now >= pauseUntil && host.hasAuthority() && sendOne()) {
+      // each pass sends one transaction
+    }
+  }
+
+  private boolean sendOne() {
+    Special special = specials.peek();
+    if (special != null) {
+      int cost = special.apply.size();
+      if (budget < Math.min(cost, limits.writeRps() * SHARE)) {
+        return false;
+      }
+      specials.poll();
+      budget -= cost;
+      inFlight++;
+      List<Condition> when = new ArrayList<>(special.when);
+      when.add(0, new Condition(Keys.LEADER, host.token()));
+      calls.state(
+          "POST",
+          "/txn",
+          StateMessage.txn(when, special.apply),
+          TIMEOUT_MS,
+          (outcome, status, body) -> {
+            inFlight--;
+            if (outcome == Outcome.REFUSED) {
+              pauseUntil = calls.now() + 200;
+              specials.addFirst(special);
+            } else if (outcome == Outcome.ANSWERED
+                && status == 409
+                && StateMessage.failed(body).contains(Keys.LEADER)) {
+              host.leaderKeyLost();
+            } else {
+              special.then.on(outcome, status, body);
+            }
+          });
+      return true;
+    }
+    List<Slot> taken = new ArrayList<>();
+    List<Condition> when = new ArrayList<>();
+    List<Change> apply = new ArrayList<>();
+    when.add(new Condition(Keys.LEADER, host.token()));
+    Map<String, Condition> guards = new LinkedHashMap<>();
+    int most = (int) Math.min(limits.txnOps(), Math.floor(budget));
+    int bytes = 0;
+    outer:
+    for (var queue : dirty.values()) {
+      for (Slot s : queue.values()) {
+        if (taken.size() >= most || bytes > MAX_BYTES) {
+          break outer;
+        }
+        if (s.inFlight) {
+          continue;
+        }
+        JsonNode value = s.content.get();
+        int size = value == null ? 50 : Json.bytes(value).length + 250;
+        if (!taken.isEmpty() && bytes + size > MAX_BYTES) {
+          continue;
+        }
+        bytes += size;
+        taken.add(s);
+        when.add(new Condition(s.key, s.stamp));
+        apply.add(new Change(s.key, value, 0));
+        Condition g = s.guard.get();
+        if (g != null) {
+          guards.put(g.key(), g);
+        }
+      }
+    }
+    if (taken.isEmpty()) {
+      return false;
+    }
+    when.addAll(guards.values());
+    budget -= taken.size();
+    inFlight++;
+    List<List<Runnable>> actions = new ArrayList<>();
+    List<Integer> urgencies = new ArrayList<>();
+    for (Slot s : taken) {
+      urgencies.add(s.urgency);
+      unqueue(s);
+      s.inFlight = true;
+      actions.add(s.onDurable);
+      s.onDurable = new ArrayList<>();
+    }
+    calls.state(
+        "POST",
+        "/txn",
+        StateMessage.txn(when, apply),
+        TIMEOUT_MS,
+        (outcome, status, body) ->
+            settle(taken, apply, actions, urgencies, guards, outcome, status, body));
+    return true;
+  }
+
+  private void settle(
+      List<Slot> taken,
+      List<Change> apply,
+      List<List<Runnable>> actions,
+      List<Integer> urgencies,
+      Map<String, Condition> guards,
+      Outcome outcome,
+      int status,
+      JsonNode body) {
+    inFlight--;
+    if (outcome == Outcome.ANSWERED && status == 200) {
+      try {
+        long epoch = StateMessage.epoch(body);
+        for (int i = 0; i < taken.size(); i++) {
+          Slot s = taken.get(i);
+          s.inFlight = false;
+          s.stamp = apply.get(i).value() == null ? 0 : epoch;
+        }
+        actions.forEach(list -> list.forEach(Runnable::run));
+        return;
+      } catch (MalformedException e) {
+        calls.note("unusable reply to a write: " + e.getMessage());
+      }
+    }
+    for (int i = 0; i < taken.size(); i++) {
+      Slot s = taken.get(i);
+      s.onDurable.addAll(0, actions.get(i));
+      mark(s, urgencies.get(i), null);
+    }
+    if (outcome == Outcome.REFUSED) {
+      taken.forEach(s -> s.inFlight = false);
+      pauseUntil = calls.now() + 200;
+      return;
+    }
+    List<String> failed =
+        outcome == Outcome.ANSWERED && status == 409 ? StateMessage.failed(body) : List.of();
+    if (failed.contains(Keys.LEADER)) {
+      host.leaderKeyLost();
+      return;
+    }
+    for (String key : failed) {
+      if (guards.containsKey(key)) {
+        host.guardFailed(key);
+      }
+    }
+    if (failed.isEmpty()) {
+      pauseUntil = calls.now() + 100;
+      taken.forEach(this::reread);
+    } else {
+      for (Slot s : taken) {
+        if (failed.contains(s.key)) {
+          reread(s);
+        } else {
+          s.inFlight = false;
+        }
+      }
+    }
+  }
+
+  /** Learns a key's present version; the slot stays in flight until then. */
+  private void reread(Slot s) {
+    calls.state("GET", "/kv/" + s.key, null, TIMEOUT_MS, rereadThen(s));
+  }
+
+  private Calls.Then rereadThen(Slot s) {
+    return (outcome, status, body) -> {
+      if (outcome == Outcome.ANSWERED && status == 404) {
+        s.stamp = 0;
+        s.inFlight = false;
+      } else if (outcome == Outcome.ANSWERED && status == 200) {
+        try {
+          s.stamp = StateMessage.entry(body).stamp();
+          s.inFlight = false;
+        } catch (MalformedException e) {
+          reread(s);
+        }
+      } else {
+        reread(s);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/net/HttpCaller.java
@@ -0,0 +1,287 @@
+package org.snowturn.net;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import org.snowturn.core.Outcome;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Calls one HTTP server over a few persistent connections, one request at a time on each.
+ *
+ * <p>All of it runs on one I/O thread. A call that never got a connection was certainly not
+ * executed; one that was sent and got no reply may have been.
+ */
+public final class HttpCaller {
+  private static final int MAX_BODY = 32 << 20;
+  private static final long IDLE_CLOSE_MS = 20_000;
+
+  /** Takes the result of a call, on the I/O thread. */
+  public interface Then {
+    /** Status and body are only meaningful for {@link Outcome#ANSWERED}. */
+    void on(Outcome outcome, int status, byte[] body);
+  }
+
+  private record Idle(ClientConnection connection, long sinceNanos) {}
+
+  private final InetSocketAddress addr;
+  private final URI uri;
+  private final String host;
+  private final XnioIoThread io;
+  private final ByteBufferPool buffers;
+  private final int maxConnections;
+  private final ArrayDeque<Idle> idle = new ArrayDeque<>();
+  private final ArrayDeque<Exchange> queue = new ArrayDeque<>();
+  private int open;
+
+  /** A caller that has not connected yet. */
+  public HttpCaller(
+      InetSocketAddress addr, XnioIoThread io, ByteBufferPool buffers, int maxConnections) {
+    this.addr = addr;
+    this.host = addr.getAddress().getHostAddress() + ":" + addr.getPort();
+    this.uri = URI.create("http://" + host);
+    this.io = io;
+    this.buffers = buffers;
+    this.maxConnections = maxConnections;
+  }
+
+  /** The server's address. */
+  public InetSocketAddress addr() {
+    return addr;
+  }
+
+  /** Whether nothing is going on, so that the caller could be dropped. */
+  public boolean unused() {
+    return open == 0 && queue.isEmpty();
+  }
+
+  /** Sends a request; {@code then} is called exactly once. */
+  public void call(String method, String path, byte[] body, int timeoutMs, Then then) {
+    Exchange x = new Exchange(method, path, body, then);
+    x.timer = io.executeAfter(x::timedOut, timeoutMs, TimeUnit.MILLISECONDS);
+    Idle free;
+    while ((free = idle.pollLast()) != null) {
+      if (free.connection.isOpen()) {
+        x.send(free.connection);
+        return;
+      }
+    }
+    if (open < maxConnections) {
+      connect(x);
+    } else {
+      queue.add(x);
+    }
+  }
+
+  private void connect(Exchange x) {
+    open++;
+    UndertowClient.getInstance()
+        .connect(
+            new ClientCallback<>() {
+              @Override
+              public void completed(ClientConnection c) {
+                c.getCloseSetter().set(ch -> open--);
+                if (x.over) {
+                  release(c);
+                } else {
+                  x.send(c);
+                }
+              }
+
+              @Override
+              public void failed(IOException e) {
+                open--;
+                x.finish(Outcome.REFUSED, 0, null);
+                pump();
+              }
+            },
+            uri,
+            io,
+            buffers,
+            OptionMap.EMPTY);
+  }
+
+  private void pump() {
+    while (!queue.isEmpty() && queue.peek().over) {
+      queue.poll();
+    }
+    if (!queue.isEmpty() && open < maxConnections) {
+      connect(queue.poll());
+    }
+  }
+
+  private void release(ClientConnection c) {
+    if (!c.isOpen()) {
+      pump();
+      return;
+    }
+    Exchange next;
+    while ((next = queue.poll()) != null) {
+      if (!next.over) {
+        next.send(c);
+        return;
+      }
+    }
+    long now = System.nanoTime();
+    idle.addLast(new Idle(c, now));
+    Idle oldest = idle.peekFirst();
+    if (oldest != null && now - oldest.sinceNanos > IDLE_CLOSE_MS * 1_000_000 && idle.size() > 1) {
+      idle.pollFirst();
+      IoUtils.safeClose(oldest.connection);
+    }
+  }
+
+  private final class Exchange {
+    final String method;
+    final String path;
+    final byte[] body;
+    final Then then;
+    XnioExecutor.Key timer;
+    ClientConnection connection;
+    boolean over;
+
+    Exchange(String method, String path, byte[] body, Then then) {
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.then = then;
+    }
+
+    void timedOut() {
+      boolean sent = connection != null;
+      if (sent) {
+        IoUtils.safeClose(connection);
+      }
+      finish(sent ? Outcome.UNKNOWN : Outcome.REFUSED, 0, null);
+      pump();
+    }
+
+    void finish(Outcome outcome, int status, byte[] reply) {
+      if (over) {
+        return;
+      }
+      over = true;
+      timer.remove();
+      then.on(outcome, status, reply);
+    }
+
+    void broken(IOException e) {
+      IoUtils.safeClose(connection);
+      finish(Outcome.UNKNOWN, 0, null);
+      pump();
+    }
+
+    void send(ClientConnection c) {
+      connection = c;
+      ClientRequest request =
+          new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+      request.getRequestHeaders().put(Headers.HOST, host);
+      if (body != null) {
+        request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+      } else if (method.equals("POST")) {
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, 0);
+      }
+      c.sendRequest(
+          request,
+          new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange x) {
+              sent(x);
+            }
+
+            @Override
+            public void failed(IOException e) {
+              broken(e);
+            }
+          });
+    }
+
+    private void sent(ClientExchange x) {
+      x.setResponseListener(
+          new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange done) {
+              int status = done.getResponse().getResponseCode();
+              BodyReader.read(
+                  done.getResponseChannel(),
+                  buffers,
+                  MAX_BODY,
+                  bytes -> {
+                    boolean close =
+                        "close"
+                            .equalsIgnoreCase(
+                                done.getResponse()
+                                    .getResponseHeaders()
+                                    .getFirst(Headers.CONNECTION));
+                    if (over || close) {
+                      IoUtils.safeClose(connection);
+                    }
+                    // Released only after this stack has unwound: the client's own state for the
+                    // exchange is cleared behind this call.
+                    ClientConnection c = connection;
+                    io.execute(() -> release(c));
+                    finish(Outcome.ANSWERED, status, bytes);
+                  },
+                  Exchange.this::broken);
+            }
+
+            @Override
+            public void failed(IOException e) {
+              broken(e);
+            }
+          });
+      if (body != null) {
+        write(x.getRequestChannel());
+      }
+    }
+
+    private void write(StreamSinkChannel channel) {
+      ByteBuffer buffer = ByteBuffer.wrap(body);
+      try {
+        if (!writeSome(channel, buffer)) {
+          channel
+              .getWriteSetter()
+              .set(
+                  ch -> {
+                    try {
+                      if (writeSome(ch, buffer)) {
+                        ch.suspendWrites();
+                      }
+                    } catch (IOException e) {
+                      broken(e);
+                    }
+                  });
+          channel.resumeWrites();
+        }
+      } catch (IOException e) {
+        broken(e);
+      }
+    }
+
+    private boolean writeSome(StreamSinkChannel channel, ByteBuffer buffer) throws IOException {
+      while (buffer.hasRemaining()) {
+        if (channel.write(buffer) == 0) {
+          return false;
+        }
+      }
+      channel.shutdownWrites();
+      return channel.flush();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/net/Replies.java
@@ -0,0 +1,41 @@
+package org.snowturn.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Input;
+import org.snowturn.core.Outcome;
+import org.snowturn.wire.Json;
+
+/** Turns HTTP replies into inputs; an unusable reply counts as none. */
+public final class Replies {
+  private static final Logger LOG = LoggerFactory.getLogger(Replies.class);
+
+  private Replies() {}
+
+  /** The input for one reply. */
+  public static Input.Reply of(Effect.Call c, Outcome outcome, int status, byte[] bytes) {
+    if (outcome != Outcome.ANSWERED) {
+      return new Input.Reply(c.id(), outcome, 0, null);
+    }
+    JsonNode body = null;
+    if (bytes != null && bytes.length > 0) {
+      try {
+        body = Json.parse(bytes);
+      } catch (IOException e) {
+        LOG.warn("{} {}: reply is not JSON", c.method(), c.path());
+        return new Input.Reply(c.id(), Outcome.UNKNOWN, 0, null);
+      }
+    }
+    boolean worker = c.target() == Effect.Target.WORKER;
+    if (status == 429 || status == 503) {
+      return new Input.Reply(c.id(), worker ? Outcome.UNKNOWN : Outcome.REFUSED, status, body);
+    }
+    if (status >= 500) {
+      return new Input.Reply(c.id(), Outcome.UNKNOWN, status, body);
+    }
+    return new Input.Reply(c.id(), Outcome.ANSWERED, status, body);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/state/StateClient.java
@@ -0,0 +1,61 @@
+package org.snowturn.state;
+
+import java.util.function.Consumer;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Input;
+import org.snowturn.core.Outcome;
+import org.snowturn.net.HttpCaller;
+import org.snowturn.net.Replies;
+import org.snowturn.wire.Json;
+import org.snowturn.config.Settings;
+
+/**
+ * The client of the state service. It keeps this node's share of the request rate; what exceeds it
+ * is refused at once, since a late answer helps nobody. Lease calls always pass.
+ */
+public final class StateClient {
+  /** One node may use this share of the common rate; the rest is the other nodes'. */
+  private static final double SHARE = 0.7;
+
+  private final HttpCaller caller;
+  private final HttpCaller watches;
+  private final double rate;
+  private double budget;
+  private long filledAtNanos = System.nanoTime();
+
+  /** Uses two callers, so that watches never keep requests waiting. */
+  public StateClient(HttpCaller caller, HttpCaller watches, Settings.StateLimits limits) {
+    this.caller = caller;
+    this.watches = watches;
+    this.rate = limits.rps() * SHARE;
+    this.budget = rate;
+  }
+
+  /** Makes the call and hands in its reply. */
+  public void call(Effect.Call c, Consumer<Input> reply) {
+    boolean lease = c.path().startsWith("/leases");
+    if (!spend() && !lease) {
+      reply.accept(new Input.Reply(c.id(), Outcome.REFUSED, 429, null));
+      return;
+    }
+    HttpCaller via = c.target() == Effect.Target.STATE_WATCH ? watches : caller;
+    byte[] body = c.body() == null ? null : Json.bytes(c.body());
+    via.call(
+        c.method(),
+        c.path(),
+        body,
+        c.timeoutMs(),
+        (outcome, status, bytes) -> reply.accept(Replies.of(c, outcome, status, bytes)));
+  }
+
+  private boolean spend() {
+    long now = System.nanoTime();
+    budget = Math.min(rate, budget + rate * (now - filledAtNanos) / 1e9);
+    filledAtNanos = now;
+    if (budget < 1) {
+      return false;
+    }
+    budget -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/wire/JobSpec.java
@@ -0,0 +1,124 @@
+package org.snowturn.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/**
+ * What a user asks to be run.
+ *
+ * @param types allowed machine types, or null for any
+ * @param zone the only allowed zone, or null
+ * @param deadlineS seconds from submission, or NaN for none
+ */
+public record JobSpec(
+    String id,
+    String jobClass,
+    String team,
+    boolean service,
+    Priority priority,
+    int tasks,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean oneZone,
+    boolean spread,
+    boolean spot,
+    double estimateS,
+    double checkpointS,
+    double saveS,
+    double deadlineS) {
+
+  private static final Pattern ID = Pattern.compile("wk-[0-9]{1,18}");
+  private static final int MAX_TASKS = 100_000;
+
+  /** Whether a text has the form of a job id. */
+  public static boolean isId(String id) {
+    return id != null && ID.matcher(id).matches();
+  }
+
+  /** Reads and checks a submission. */
+  public static JobSpec parse(JsonNode node) throws MalformedException {
+    Fields f = new Fields(node);
+    String id = f.text("id");
+    if (!isId(id)) {
+      throw new MalformedException("id: not a job id");
+    }
+    String shape = f.text("shape");
+    if (!shape.equals("batch") && !shape.equals("service")) {
+      throw new MalformedException("shape: batch or service expected");
+    }
+    List<String> types = null;
+    if (f.has("hulls")) {
+      if (!f.node("hulls").isArray()) {
+        throw new MalformedException("hulls: list expected");
+      }
+      types = new ArrayList<>();
+      for (JsonNode t : f.node("hulls")) {
+        if (!t.isTextual()) {
+          throw new MalformedException("hulls: list of texts expected");
+        }
+        types.add(t.textValue());
+      }
+      types = List.copyOf(types);
+    }
+    double cpus = f.number("cores", 0, 1e6);
+    double gpus = f.number("cards", 0, 1e6, 0);
+    double memory = f.number("ram_gb", 0, 1e9);
+    return new JobSpec(
+        id,
+        f.text("jobclass"),
+        f.text("owner"),
+        shape.equals("service"),
+        Priority.parse(f.text("rank")),
+        (int) f.integer("flakes", 1, MAX_TASKS),
+        cpus,
+        gpus,
+        memory,
+        f.text("bundle"),
+        f.number("size_gb", 0, 1e6),
+        types,
+        f.textOrNull("field"),
+        f.flag("same_place", false),
+        f.flag("spread", false),
+        f.flag("loaners", false),
+        f.number("guess_s", 0, 1e9, 0),
+        f.number("cairn_s", 0, 1e9, 0),
+        f.number("stash_s", 0, 1e9, 0),
+        f.number("due_s", 0, 1e9, Double.NaN));
+  }
+
+  /** The submission's own form, as it is also stored. */
+  public ObjectNode toJson() {
+    ObjectNode o = Json.object();
+    o.put("id", id).put("jobclass", jobClass).put("owner", team);
+    o.put("shape", service ? "service" : "batch").put("rank", priority.wire());
+    o.put("flakes", tasks).put("cores", cpus).put("cards", gpus).put("ram_gb", memoryGb);
+    o.put("bundle", image).put("size_gb", imageGb);
+    if (types != null) {
+      ArrayNode a = o.putArray("hulls");
+      types.forEach(a::add);
+    }
+    if (zone != null) {
+      o.put("field", zone);
+    }
+    o.put("same_place", oneZone).put("spread", spread).put("loaners", spot);
+    o.put("guess_s", estimateS).put("cairn_s", checkpointS).put("stash_s", saveS);
+    if (!Double.isNaN(deadlineS)) {
+      o.put("due_s", deadlineS);
+    }
+    return o;
+  }
+
+  /** How many of the tasks may be in one zone. */
+  public int perZoneLimit() {
+    return spread ? (tasks + 1) / 2 : tasks;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/wire/JobView.java
@@ -0,0 +1,35 @@
+package org.snowturn.wire;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+
+/** A job's state as users see it. */
+public record JobView(String id, Phase phase, int done, int running) {
+  /** Phases in the words of the user protocol. */
+  public enum Phase {
+    QUEUED,
+    RUNNING,
+    DONE,
+    ABORTED;
+
+    /** Whether the phase can never change again. */
+    public boolean terminal() {
+      return this == DONE || this == ABORTED;
+    }
+
+    /** The word on the wire. */
+    public String wire() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+
+  /** The answer to a submission or a cancellation. */
+  public ObjectNode brief() {
+    return Json.object().put("id", id).put("phase", phase.wire());
+  }
+
+  /** The answer to a poll. */
+  public ObjectNode full() {
+    return brief().put("done", done).put("running", running);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/wire/Priority.java
@@ -0,0 +1,24 @@
+package org.snowturn.wire;
+
+import java.util.Locale;
+
+/** Job priorities, most urgent first. */
+public enum Priority {
+  PRODUCTION,
+  HIGH,
+  NORMAL,
+  LOW;
+
+  static Priority parse(String text) throws MalformedException {
+    for (Priority p : values()) {
+      if (p.wire().equals(text)) {
+        return p;
+      }
+    }
+    throw new MalformedException("rank: unknown priority");
+  }
+
+  String wire() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/wire/StateMessage.java
@@ -0,0 +1,114 @@
+package org.snowturn.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The state service's messages in the project's own terms. */
+public final class StateMessage {
+  private StateMessage() {}
+
+  /** A key with its value (null in a removal) and the version at which it last changed. */
+  public record Entry(String key, JsonNode value, long stamp) {}
+
+  /** A condition: the key has this version; 0: it does not exist. */
+  public record Condition(String key, long stamp) {}
+
+  /** A change: a null value removes the key; lease 0 attaches none. */
+  public record Change(String key, JsonNode value, long lease) {
+    /** Writes a value that no lease holds. */
+    public static Change put(String key, JsonNode value) {
+      return new Change(key, value, 0);
+    }
+
+    /** Removes a key. */
+    public static Change delete(String key) {
+      return new Change(key, null, 0);
+    }
+  }
+
+  /** The body of a transaction. */
+  public static JsonNode txn(List<Condition> conditions, List<Change> changes) {
+    ObjectNode o = Json.object();
+    ArrayNode when = o.putArray("when");
+    for (Condition c : conditions) {
+      when.addObject().put("path", c.key).put("stamp", c.stamp);
+    }
+    ArrayNode apply = o.putArray("apply");
+    for (Change c : changes) {
+      ObjectNode n = apply.addObject();
+      if (c.value == null) {
+        n.put("drop", c.key);
+      } else {
+        n.put("write", c.key).set("value", c.value);
+        if (c.lease != 0) {
+          n.put("hold", c.lease);
+        }
+      }
+    }
+    return o;
+  }
+
+  /** The body that asks for a lease. */
+  public static JsonNode lease(long ttlMs) {
+    return Json.object().put("life_ms", ttlMs);
+  }
+
+  /** The lease in a reply. */
+  public static long leaseId(JsonNode body) throws MalformedException {
+    return new Fields(body).integer("hold", 0, Long.MAX_VALUE);
+  }
+
+  /** The revision in a reply. */
+  public static long epoch(JsonNode body) throws MalformedException {
+    return new Fields(body).integer("epoch", 0, Long.MAX_VALUE);
+  }
+
+  /** The keys that failed a transaction. */
+  public static List<String> failed(JsonNode body) {
+    List<String> out = new ArrayList<>();
+    body.path("failed").forEach(n -> out.add(n.asText()));
+    return out;
+  }
+
+  /** The single key of a read. */
+  public static Entry entry(JsonNode body) throws MalformedException {
+    Fields f = new Fields(body);
+    return new Entry(f.text("path"), f.node("value"), f.integer("stamp", 0, Long.MAX_VALUE));
+  }
+
+  /** The lease that holds a read key, or 0. */
+  public static long holder(JsonNode body) {
+    return body.path("hold").asLong(0);
+  }
+
+  /** The keys of a range. */
+  public static List<Entry> entries(JsonNode body) throws MalformedException {
+    List<Entry> out = new ArrayList<>();
+    for (JsonNode n : new Fields(body).node("entries")) {
+      out.add(entry(n));
+    }
+    return out;
+  }
+
+  /** Whether a range was cut short. */
+  public static boolean more(JsonNode body) {
+    return body.path("truncated").asBoolean(false);
+  }
+
+  /** The changes in a watch's reply; removals have a null value. */
+  public static List<Entry> events(JsonNode body) throws MalformedException {
+    List<Entry> out = new ArrayList<>();
+    for (JsonNode n : new Fields(body).node("news")) {
+      Fields f = new Fields(n);
+      long stamp = f.integer("stamp", 0, Long.MAX_VALUE);
+      out.add(
+          f.has("drop")
+              ? new Entry(f.text("drop"), null, stamp)
+              : new Entry(f.text("write"), f.node("value"), stamp));
+    }
+    return out;
+  }
+}
