--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -28,8 +28,8 @@
     this.settings = settings;
     this.tunables = tunables;
     catalog = new Catalog(calls);
-    desk = new UserDesk(settings, calls, catalog);
     election = new Election(settings, tunables, calls, incarnation);
+    desk = new UserDesk(settings, calls, catalog, election::stateHealthy);
   }
 
   /** Takes one input and returns what is to be done. */
@@ -62,6 +62,11 @@
     return election.hasAuthority();
   }
 
+  /** Whether this node should get new users: not when it alone has lost the state service. */
+  public boolean ready() {
+    return election.stateHealthy() || !election.peersReachState();
+  }
+
   /** Figures for operators. */
   public Map<String, Double> gauges() {
     return leader == null ? Map.of() : leader.gauges();
@@ -98,8 +103,8 @@
   private void fromPeer(Input.FromPeer p) {
     if (p.message() instanceof PeerRecord.Progress g) {
       desk.progress(g);
-    } else if (p.message() instanceof PeerRecord.Resign r) {
-      election.endForPeer(r);
+    } else {
+      election.fromPeer(p.message());
     }
   }
 }
--- a/src/main/java/org/snowturn/core/Election.java
+++ b/src/main/java/org/snowturn/core/Election.java
@@ -1,7 +1,12 @@
 package org.snowturn.core;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.wire.Json;
@@ -14,12 +19,27 @@
  * Leadership by a lease in the state service. The leader key's version is the token. A leader's
  * authority ends one lease life after its last successful renewal was <em>sent</em>, less the drift
  * of the clocks, so it always ends before the state service can end the lease.
+ *
+ * <p>While the state service is out, authority can also rest on promises: every peer has promised
+ * not to claim leadership for a while, so nobody can take over, whatever became of the lease. A
+ * promise binds the node, not the process: a restarted node keeps quiet for as long as a promise of
+ * its predecessor could last, unless every peer has told it that it does not lead.
  */
 final class Election {
   private static final double DRIFT = 0.002;
   private static final int CALL_MS = 1500;
   private static final long RETRY_MS = 400;
 
+  private static final int PROMISE_MS = 3000;
+  private static final long TELL_MS = 300;
+  private static final long PROBE_MS = 700;
+
+  /** Without a good reply for this long, this node counts as having lost the state service. */
+  private static final long STATE_LOST_MS = 2200;
+
+  private static final long PEER_NEWS_MS = 1500;
+  private static final long HOLD_OFF_MS = 15_000;
+
   private enum Role {
     LOOKING,
     FOLLOWING,
@@ -48,6 +68,23 @@
   private long holdOffUntil;
   private long generation;
 
+  private long quietUntil = Job.UNKNOWN;
+  private boolean quiet = true;
+  private final Set<String> notLeading = new HashSet<>();
+  private long promisedUntil = Job.UNKNOWN;
+  private boolean claimInDoubt;
+  private long knownToken;
+  private final Map<String, Long> promises = new HashMap<>();
+  private final Map<Long, Long> asks = new LinkedHashMap<>();
+  private long askSeq;
+  private long tellAt;
+  private long renewFailingSince = Job.UNKNOWN;
+
+  private long probeAt;
+  private boolean probing;
+  private long stateOkAt = Job.UNKNOWN;
+  private final Map<String, Long> peerStateOkAt = new HashMap<>();
+
   Election(Settings settings, Tunables tunables, Calls calls, String incarnation) {
     this.settings = settings;
     this.calls = calls;
@@ -68,7 +105,34 @@
   }
 
   boolean hasAuthority() {
-    return role == Role.LEADING && calls.now() < authorityUntil;
+    return role == Role.LEADING && (calls.now() < authorityUntil || promisedByAll());
+  }
+
+  private boolean promisedByAll() {
+    if (settings.peers().isEmpty()) {
+      return false;
+    }
+    for (Settings.Peer p : settings.peers()) {
+      if (promises.getOrDefault(p.node(), Job.UNKNOWN) <= calls.now()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Whether the state service has answered this node lately. */
+  boolean stateHealthy() {
+    return calls.now() - STATE_LOST_MS < stateOkAt;
+  }
+
+  /** Whether a peer has said lately that the state service answers it. */
+  boolean peersReachState() {
+    for (long at : peerStateOkAt.values()) {
+      if (calls.now() - PEER_NEWS_MS < at) {
+        return true;
+      }
+    }
+    return false;
   }
 
   long token() {
@@ -86,6 +150,12 @@
 
   void tick() {
     long now = calls.now();
+    if (quietUntil == Job.UNKNOWN) {
+      quietUntil = now + PROMISE_MS + 200;
+    }
+    quiet = quiet && now < quietUntil && notLeading.size() < settings.peers().size();
+    probe();
+    tell();
     if (role == Role.LEADING) {
       if (!renewing && now >= renewAt) {
         renew();
@@ -100,12 +170,117 @@
     }
     switch (role) {
       case LOOKING -> look();
-      case LEASING -> askLease();
-      case CLAIMING -> claim();
+      case LEASING -> {
+        if (!mustNotClaim()) {
+          askLease();
+        }
+      }
       default -> {}
     }
   }
 
+  /** One cheap read at a time tells whether the state service answers this node. */
+  private void probe() {
+    if (probing || calls.now() < probeAt) {
+      return;
+    }
+    probing = true;
+    long sentAt = calls.now();
+    probeAt = sentAt + PROBE_MS;
+    calls.state(
+        "GET",
+        "/kv/" + Keys.LEADER,
+        null,
+        1000,
+        (outcome, status, body) -> {
+          probing = false;
+          if (outcome == Outcome.ANSWERED && (status == 200 || status == 404)) {
+            stateOkAt = Math.max(stateOkAt, sentAt);
+          }
+        });
+  }
+
+  private boolean stateOkNow() {
+    return calls.now() - 2 * PROBE_MS < stateOkAt;
+  }
+
+  private void tell() {
+    long now = calls.now();
+    if (now < tellAt) {
+      return;
+    }
+    tellAt = now + TELL_MS;
+    if (role != Role.LEADING) {
+      calls.toPeers(new PeerRecord.Status(settings.node(), stateOkNow()));
+      return;
+    }
+    asks.put(++askSeq, now);
+    if (asks.size() > 50) {
+      asks.remove(asks.keySet().iterator().next());
+    }
+    calls.toPeers(
+        new PeerRecord.Ask(settings.node(), askSeq, token, renewFailingSince != Job.UNKNOWN));
+  }
+
+  /** Takes a peer's record. */
+  void fromPeer(PeerRecord r) {
+    if (r instanceof PeerRecord.Status s) {
+      notLeading.add(s.from());
+      heardOfState(s.from(), s.stateOk());
+    } else if (r instanceof PeerRecord.Ask a) {
+      asked(a);
+    } else if (r instanceof PeerRecord.Promise p) {
+      promised(p);
+    } else if (r instanceof PeerRecord.Resign x) {
+      endForPeer(x);
+    }
+  }
+
+  private void heardOfState(String node, boolean ok) {
+    if (ok) {
+      peerStateOkAt.put(node, calls.now());
+    } else {
+      peerStateOkAt.remove(node);
+    }
+  }
+
+  /**
+   * Promises nothing that it may not keep: not while a claim of its own may be executed, nor after
+   * it has seen the leader's key vanish or a later leader's key.
+   */
+  private void asked(PeerRecord.Ask a) {
+    heardOfState(a.from(), !a.trouble());
+    boolean mayClaim =
+        role == Role.LEADING || role == Role.CLAIMING || role == Role.LEASING || claimInDoubt;
+    if (mayClaim || a.token() < knownToken) {
+      return;
+    }
+    knownToken = a.token();
+    promisedUntil = Math.max(promisedUntil, calls.now() + PROMISE_MS);
+    calls.toPeers(
+        new PeerRecord.Promise(settings.node(), a.seq(), a.token(), PROMISE_MS, stateOkNow()));
+  }
+
+  private void promised(PeerRecord.Promise p) {
+    heardOfState(p.from(), p.stateOk());
+    Long sentAt = asks.get(p.seq());
+    if (role != Role.LEADING || p.token() != token || sentAt == null) {
+      return;
+    }
+    // Counted from when the request was sent: the peer counts from when it arrived.
+    long until = sentAt + (long) (p.durationMs() * (1 - DRIFT)) - 20;
+    promises.merge(p.from(), until, Math::max);
+    boolean lost =
+        renewFailingSince != Job.UNKNOWN && calls.now() - renewFailingSince > STATE_LOST_MS;
+    if (lost && p.stateOk()) {
+      resign("the state service answers " + p.from() + " but not this node");
+    }
+  }
+
+  private boolean mustNotClaim() {
+    return quiet || calls.now() < promisedUntil;
+  }
+
   private void retryLater(Role next) {
     role = next;
     busy = false;
@@ -131,7 +306,7 @@
             if (found.isEmpty()) {
               vacant();
             } else {
-              occupied(found.get(0).value());
+              occupied(found.get(0));
             }
           } catch (MalformedException e) {
             retryLater(Role.LOOKING);
@@ -139,7 +314,9 @@
         });
   }
 
-  private void occupied(JsonNode value) {
+  private void occupied(StateMessage.Entry key) {
+    JsonNode value = key.value();
+    knownToken = Math.max(knownToken, key.stamp());
     knownLeader = value.path("node").asText(null);
     if (settings.node().equals(knownLeader) && !incarnation.equals(value.path("inc").asText())) {
       // Our own predecessor on this node: it has ended, since we run in its place.
@@ -156,14 +333,25 @@
         "/leases/" + id,
         null,
         CALL_MS,
-        (outcome, status, body) -> retryLater(Role.LOOKING));
+        (outcome, status, body) -> {
+          if (outcome != Outcome.ANSWERED && claimInDoubt) {
+            busy = false;
+            endLease(id);
+            return;
+          }
+          claimInDoubt = false;
+          retryLater(Role.LOOKING);
+        });
   }
 
   /** A leader that can no longer serve told us so: end its lease if the state service answers us. */
-  void endForPeer(PeerRecord.Resign r) {
+  private void endForPeer(PeerRecord.Resign r) {
     if (role == Role.LEADING) {
       return;
     }
+    if (r.token() >= knownToken) {
+      promisedUntil = Job.UNKNOWN; // the one it was given to has released us
+    }
     calls.state("DELETE", "/leases/" + r.lease(), null, CALL_MS, (o, s, b) -> {});
   }
 
@@ -171,6 +359,7 @@
     knownLeader = null;
     role = Role.LEASING;
     nextAt = Math.max(calls.now(), holdOffUntil);
+    tick();
   }
 
   private void askLease() {
@@ -189,6 +378,10 @@
           }
           try {
             lease = StateMessage.leaseId(body);
+            if (mustNotClaim()) {
+              retryLater(Role.LOOKING);
+              return;
+            }
             role = Role.CLAIMING;
             claim();
           } catch (MalformedException e) {
@@ -226,6 +419,7 @@
           }
           if (outcome == Outcome.UNKNOWN) {
             // The claim may still be executed: only ending its lease makes it harmless.
+            claimInDoubt = true;
             endLease(lease);
             return;
           }
@@ -239,6 +433,11 @@
     token = epoch;
     knownLeader = settings.node();
     extend(leaseSentAt);
+    promises.clear();
+    asks.clear();
+    knownToken = Math.max(knownToken, token);
+    renewFailingSince = Job.UNKNOWN;
+    tellAt = calls.now();
     renewing = false;
     renewAt = calls.now() + ttlMs / 5;
     calls.note("leading with token " + token + ", lease life " + ttlMs + " ms");
@@ -264,10 +463,15 @@
           renewing = false;
           if (outcome == Outcome.ANSWERED && status == 200) {
             extend(sentAt);
+            stateOkAt = Math.max(stateOkAt, sentAt);
+            renewFailingSince = Job.UNKNOWN;
             renewAt = sentAt + ttlMs / 5;
           } else if (outcome == Outcome.ANSWERED && status == 404) {
             stepDown("lease lost");
           } else {
+            if (renewFailingSince == Job.UNKNOWN) {
+              renewFailingSince = sentAt;
+            }
             renewAt = calls.now() + 250;
           }
         });
@@ -286,12 +490,12 @@
   }
 
   /** Gives up leadership so that another node can have it at once. */
-  void resign(String why, long holdOffMs) {
+  void resign(String why) {
     long old = lease;
-    holdOffUntil = calls.now() + holdOffMs;
+    holdOffUntil = calls.now() + HOLD_OFF_MS;
     stepDown(why);
     nextAt = calls.now() + 1000;
-    calls.toPeers(new PeerRecord.Resign(old, token));
+    calls.toPeers(new PeerRecord.Resign(settings.node(), old, token));
     calls.state("DELETE", "/leases/" + old, null, CALL_MS, (o, s, b) -> {});
   }
 
@@ -321,7 +525,7 @@
               if (last.value() == null) {
                 vacant();
               } else {
-                occupied(last.value());
+                occupied(last);
               }
             }
           } catch (MalformedException e) {
--- a/src/main/java/org/snowturn/core/Input.java
+++ b/src/main/java/org/snowturn/core/Input.java
@@ -25,5 +25,5 @@
   record Cancel(long exchange, String job) implements Input {}
 
   /** A peer's record arrived. */
-  record FromPeer(String node, PeerRecord message) implements Input {}
+  record FromPeer(PeerRecord message) implements Input {}
 }
--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -25,7 +25,8 @@
   static final byte FETCHING = 3;
   static final byte RUNNING = 4;
   static final byte DONE = 5;
-  static final long UNKNOWN = Long.MIN_VALUE;
+  /** No such time; far in the past, but safe to subtract from. */
+  static final long UNKNOWN = Long.MIN_VALUE / 4;
 
   final int index;
   final JobSpec spec;
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -421,7 +421,7 @@
     }
     boolean cutOff = silent >= 3 && heard * 4 < silent;
     if (cutOff && now - startedAt > 2 * Reports.lapseMs(settings) && !settings.peers().isEmpty()) {
-      election.resign("most machines are out of reach", 15_000);
+      election.resign("most machines are out of reach");
     }
     for (Map.Entry<String, Writer.Slot> e : new ArrayList<>(machineSlots.entrySet())) {
       Machine m = machines.find(e.getKey());
@@ -490,7 +490,7 @@
       for (int t = 0; t < j.state.length && j.bound > 0; t++) {
         running += j.state[t] == Job.RUNNING ? 1 : 0;
       }
-      PeerRecord.Progress p = new PeerRecord.Progress(j.spec.id(), j.done, running);
+      PeerRecord.Progress p = new PeerRecord.Progress(settings.node(), j.spec.id(), j.done, running);
       if (!p.equals(told.put(j.spec.id(), p))) {
         desk.progress(p);
         calls.toPeers(p);
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -189,9 +189,13 @@
     quota.take(j.spec);
   }
 
+  /** A number that no attempt under any leader has had. */
+  long newAttempt() {
+    return (token << 20) + ++attempts;
+  }
+
   /** Binds a pending task; its start is sent when the placement is durable. */
-  void bind(Job j, int t, Machine m) {
-    long attempt = (token << 20) + ++attempts;
+  void bind(Job j, int t, Machine m, long attempt) {
     take(j, t, m, attempt, m.session);
     j.state[t] = Job.PLACING;
     j.inherited.clear(t);
@@ -210,6 +214,7 @@
       return;
     }
     j.state[t] = Job.STARTING;
+    calls.note("start " + j.spec.id() + "/" + t + " on " + m.id);
     m.outbox.add(start(j, t));
   }
 
--- a/src/main/java/org/snowturn/core/Outbox.java
+++ b/src/main/java/org/snowturn/core/Outbox.java
@@ -49,6 +49,11 @@
     probe = true;
   }
 
+  /** One number for an attempt of a task; attempts of a gang's tasks are the same. */
+  static long doubt(long attempt, int task) {
+    return attempt * 131_072 + task;
+  }
+
   void drop() {
     queue.clear();
   }
@@ -68,8 +73,8 @@
     // From here until an answer the starts may be executed at any later time of the session.
     List<Long> doubts = new ArrayList<>();
     for (Command c : commands) {
-      if (c.op() == Command.Op.START && machine.startsInDoubt.add(c.attempt())) {
-        doubts.add(c.attempt());
+      if (c.op() == Command.Op.START && machine.startsInDoubt.add(doubt(c.attempt(), c.task()))) {
+        doubts.add(doubt(c.attempt(), c.task()));
       }
     }
     calls.call(
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -66,6 +66,7 @@
     if (j.spec.kind() == JobSpec.Kind.GANG && !gangFits(j, usable)) {
       return false;
     }
+    long attempt = ledger.newAttempt();
     while (j.pending > 0) {
       int t = j.nextPending();
       if (!ledger.quota().allows(j.spec)) {
@@ -85,7 +86,8 @@
       if (best == null) {
         return false;
       }
-      ledger.bind(j, t, best);
+      ledger.bind(
+          j, t, best, j.spec.kind() == JobSpec.Kind.GANG ? attempt : ledger.newAttempt());
     }
     return true;
   }
@@ -94,7 +96,7 @@
   private boolean gangFits(Job j, List<Machine> usable) {
     j.gangZone = -1;
     if (j.bound > 0) {
-      return true; // the missing ones join those that still wait
+      return false; // its tasks only meet tasks of their own attempt: wait until all have ended
     }
     int[] room = new int[machines.zoneCount()];
     int all = 0;
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -195,6 +195,10 @@
           j.backOffUntil = now + Math.min(30_000, 500L << Math.min(6, j.failures - 4));
         }
       }
+      case STOPPED -> calls.note(j.spec.id() + "/" + t + " stopped on " + m.id);
+      default -> calls.note(j.spec.id() + "/" + t + " ended on " + m.id + ": " + why);
+    }
+    switch (why) {
       case NO_ROOM, BUSY -> m.blockedUntil = now + 1_500;
       case UNKNOWN_JOB -> j.backOffUntil = now + 2_000;
       default -> {}
@@ -225,7 +229,7 @@
       } else if (t.state() != TaskReport.State.ENDED) {
         out.add(new Command(Command.Op.STOP, t.job(), t.task(), t.attempt(), 0));
       } else if (r.token() == token
-          && !m.startsInDoubt.contains(t.attempt())
+          && !m.startsInDoubt.contains(Outbox.doubt(t.attempt(), t.task()))
           && ledger.forgettable(t.job(), t.task(), t.attempt())) {
         out.add(new Command(Command.Op.FORGET, t.job(), t.task(), t.attempt(), 0));
       }
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.JobView;
@@ -24,10 +25,12 @@
   private final Settings settings;
   private final Calls calls;
   private final Catalog catalog;
+  private final BooleanSupplier stateHealthy;
   private final Map<String, JobView> over = bounded(REMEMBERED);
   private final Map<String, PeerRecord.Progress> progress = bounded(5_000);
 
-  UserDesk(Settings settings, Calls calls, Catalog catalog) {
+  UserDesk(Settings settings, Calls calls, Catalog catalog, BooleanSupplier stateHealthy) {
+    this.stateHealthy = stateHealthy;
     this.settings = settings;
     this.calls = calls;
     this.catalog = catalog;
@@ -46,7 +49,19 @@
     progress.put(p.job(), p);
   }
 
+  /** What cannot be taken is answered at once: the state service has not answered for a while. */
+  private boolean refusedForNow(long exchange) {
+    if (stateHealthy.getAsBoolean()) {
+      return false;
+    }
+    calls.refuse(exchange, 503, AGAIN_S);
+    return true;
+  }
+
   void submit(long exchange, JobSpec spec) {
+    if (refusedForNow(exchange)) {
+      return;
+    }
     // The job may be known already: a repeat must get 200 whatever the checks below say today.
     String never = catalog.known() ? whyNever(spec) : null;
     if (!catalog.known() || never != null) {
@@ -121,6 +136,9 @@
   }
 
   void poll(long exchange, String id) {
+    if (!over.containsKey(id) && refusedForNow(exchange)) {
+      return;
+    }
     lookUp(
         exchange,
         id,
@@ -209,9 +227,9 @@
     JobView known = over.get(id);
     if (known != null) {
       calls.answer(exchange, 200, known.brief());
-      return;
+    } else if (!refusedForNow(exchange)) {
+      cancel(exchange, id, 3);
     }
-    cancel(exchange, id, 3);
   }
 
   private void cancel(long exchange, String id, int tries) {
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -84,7 +84,7 @@
     front =
         new Front(
             this::accept,
-            () -> true,
+            controller::ready,
             metrics,
             controller::gauges,
             Math.max(64, settings.maxConnections() / 2));
--- a/src/main/java/org/snowturn/peer/PeerCodec.java
+++ b/src/main/java/org/snowturn/peer/PeerCodec.java
@@ -18,8 +18,11 @@
   public static final int MAX = 4096;
 
   private static final int VERSION = 1;
+  private static final int STATUS = 1;
   private static final int RESIGN = 2;
   private static final int PROGRESS = 3;
+  private static final int ASK = 4;
+  private static final int PROMISE = 5;
 
   private PeerCodec() {}
 
@@ -29,12 +32,26 @@
     try (DataOutputStream out = new DataOutputStream(bytes)) {
       out.writeShort(0);
       out.writeByte(VERSION);
-      if (r instanceof PeerRecord.Resign x) {
-        out.writeByte(RESIGN);
+      if (r instanceof PeerRecord.Status x) {
+        head(out, STATUS, r);
+        out.writeBoolean(x.stateOk());
+      } else if (r instanceof PeerRecord.Ask x) {
+        head(out, ASK, r);
+        out.writeLong(x.seq());
+        out.writeLong(x.token());
+        out.writeBoolean(x.trouble());
+      } else if (r instanceof PeerRecord.Promise x) {
+        head(out, PROMISE, r);
+        out.writeLong(x.seq());
+        out.writeLong(x.token());
+        out.writeInt(x.durationMs());
+        out.writeBoolean(x.stateOk());
+      } else if (r instanceof PeerRecord.Resign x) {
+        head(out, RESIGN, r);
         out.writeLong(x.lease());
         out.writeLong(x.token());
       } else if (r instanceof PeerRecord.Progress x) {
-        out.writeByte(PROGRESS);
+        head(out, PROGRESS, r);
         out.writeUTF(x.job());
         out.writeInt(x.done());
         out.writeInt(x.running());
@@ -53,10 +70,23 @@
   public static PeerRecord decode(byte[] body) throws IOException {
     DataInputStream in = new DataInputStream(new ByteArrayInputStream(body));
     in.readByte();
-    return switch (in.readByte()) {
-      case RESIGN -> new PeerRecord.Resign(in.readLong(), in.readLong());
-      case PROGRESS -> new PeerRecord.Progress(in.readUTF(), in.readInt(), in.readInt());
+    int kind = in.readByte();
+    String from = in.readUTF();
+    return switch (kind) {
+      case STATUS -> new PeerRecord.Status(from, in.readBoolean());
+      case ASK -> new PeerRecord.Ask(from, in.readLong(), in.readLong(), in.readBoolean());
+      case PROMISE ->
+          new PeerRecord.Promise(
+              from, in.readLong(), in.readLong(), in.readInt(), in.readBoolean());
+      case RESIGN -> new PeerRecord.Resign(from, in.readLong(), in.readLong());
+      case PROGRESS ->
+          new PeerRecord.Progress(from, in.readUTF(), in.readInt(), in.readInt());
       default -> null;
     };
   }
+
+  private static void head(DataOutputStream out, int kind, PeerRecord r) throws IOException {
+    out.writeByte(kind);
+    out.writeUTF(r.from());
+  }
 }
--- a/src/main/java/org/snowturn/peer/PeerLinks.java
+++ b/src/main/java/org/snowturn/peer/PeerLinks.java
@@ -29,7 +29,7 @@
 public final class PeerLinks {
   private static final Logger LOG = LoggerFactory.getLogger(PeerLinks.class);
   private static final int BUFFER = 32 * 1024;
-  private static final long RETRY_MS = 2000;
+  private static final long RETRY_MS = 500;
 
   private final XnioIoThread io;
   private final Consumer<Input> core;
@@ -198,7 +198,7 @@
         buffer.get(body);
         PeerRecord r = PeerCodec.decode(body);
         if (r != null) {
-          core.accept(new Input.FromPeer("", r));
+          core.accept(new Input.FromPeer(r));
         }
       }
       buffer.compact();
