--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -48,8 +48,8 @@
     waiting.sort(
         Comparator.<Job>comparingInt(j -> j.spec.priority().ordinal())
             .thenComparingInt(j -> j.spec.service() ? 0 : 1)
-            .thenComparingInt(j -> j.dueWall(1.5) < wall ? 1 : 0)
-            .thenComparingDouble(j -> j.dueWall(1))
+            .thenComparingInt(j -> lateness(j, wall))
+            .thenComparingDouble(Placer::workLeft)
             .thenComparingLong(j -> j.submittedWall)
             .thenComparing(j -> j.spec.id()));
     boolean room = true;
@@ -62,6 +62,17 @@
     return room;
   }
 
+  /** 0: can still be in time; 1: within one and a half times; 2: late whatever is done now. */
+  private static int lateness(Job j, double wall) {
+    double end = wall + j.spec.estimateS() * 1000;
+    return end <= j.dueWall(1) ? 0 : end <= j.dueWall(1.5) ? 1 : 2;
+  }
+
+  /** Where not all can be in time, the most are if those with the least to do go first. */
+  private static double workLeft(Job j) {
+    return j.pending * j.spec.cpus() * Math.max(1, j.spec.estimateS());
+  }
+
   private boolean placeJob(Job j, List<Machine> usable) {
     if (j.spec.kind() == JobSpec.Kind.GANG && !gangFits(j, usable)) {
       return false;
