--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -17,6 +17,7 @@
 final class Leader implements Writer.Host, Outbox.Host {
   private static final long SWEEP_MS = 250;
   private static final long PROGRESS_MS = 1000;
+  private static final long SUMMARY_MS = 10_000;
   private final Calls calls;
   private final Settings settings;
   private final Tunables tunables;
@@ -43,6 +44,7 @@
   private long watchRetryAt;
   private long sweepAt;
   private long progressAt;
+  private long summaryAt;
   private long specAt;
 
   Leader(
@@ -463,6 +465,10 @@
         speculator.consider();
       }
     }
+    if (now >= summaryAt) {
+      summaryAt = now + SUMMARY_MS;
+      summary();
+    }
     if (now >= progressAt) {
       progressAt = now + PROGRESS_MS;
       tellProgress();
@@ -483,6 +489,47 @@
     }
   }
 
+  /** One line now and then that tells how full the fleet is. */
+  private void summary() {
+    int pending = 0;
+    int bound = 0;
+    for (Job j : ledger.jobs()) {
+      pending += j.cancelled ? 0 : j.pending;
+      bound += j.bound;
+    }
+    int[] up = new int[2];
+    int[] coming = new int[2];
+    double[] cpus = new double[2];
+    double[] used = new double[2];
+    for (Machine m : machines.present()) {
+      int kind = m.spot ? 1 : 0;
+      if (m.usable(calls.now())) {
+        up[kind]++;
+        cpus[kind] += m.shape.cpus();
+        used[kind] += m.cpusUsed;
+      } else {
+        coming[kind]++;
+      }
+    }
+    calls.note(
+        String.format(
+            java.util.Locale.ROOT,
+            "%d jobs, %d tasks wait, %d on machines; ordinary %d up, %d not, %.0f of %.0f cpus;"
+                + " spot %d up, %d not, %.0f of %.0f cpus; restarts %d",
+            ledger.jobs().size(),
+            pending,
+            bound,
+            up[0],
+            coming[0],
+            used[0],
+            cpus[0],
+            up[1],
+            coming[1],
+            used[1],
+            cpus[1],
+            speculator.restarts()));
+  }
+
   private void tellProgress() {
     told.keySet().removeIf(id -> ledger.job(id) == null);
     for (Job j : ledger.jobs()) {
--- a/src/main/java/org/snowturn/front/Front.java
+++ b/src/main/java/org/snowturn/front/Front.java
@@ -16,6 +16,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.snowturn.core.Effect;
 import org.snowturn.core.Input;
 import org.snowturn.metrics.Metrics;
@@ -29,6 +31,7 @@
   /** Largest request body. */
   public static final int MAX_BODY = 64 * 1024;
 
+  private static final Logger LOG = LoggerFactory.getLogger(Front.class);
   private static final String RUNS = "/v2/runs";
   private static final HttpString RETRY_AFTER = new HttpString("Retry-After");
   private final Consumer<Input> core;
@@ -169,6 +172,7 @@
     }
     metrics.took("snowturn." + w.kind, System.nanoTime() - w.sinceNanos);
     if (a.status() >= 500) {
+      LOG.debug("{} refused with {}", w.kind, a.status());
       metrics.count("snowturn.requests.refused", w.kind);
     }
     if (a.retryAfterS() > 0) {
