--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -17,6 +17,12 @@
   private static final int TIMEOUT_MS = 5000;
   private static final int MOST_PER_HIRE = 50;
 
+  /** Waiting work that spot machines can do within this time needs no ordinary ones. */
+  private static final double DRAIN_S = 30;
+
+  /** A machine is paid for this long in any case. */
+  private static final long PAID_MS = 60_000;
+
   private record Kind(String type, int zone, boolean spot) {}
 
   private static final class Hire {
@@ -280,7 +286,7 @@
     }
     double need = need(spot);
     if (!spot) {
-      return need * (1 + policy.serviceHeadroom()) + 8;
+      return need * (1 + policy.serviceHeadroom()) + 8 + overflow();
     }
     // A burst's machines stay a little: the next array finds them up and with their images.
     long now = calls.now();
@@ -291,16 +297,30 @@
     return Math.max(need, 0.6 * peakArrayCpus) * (1 + policy.arrayHeadroom());
   }
 
+  /**
+   * CPUs of ordinary machines for arrays: only where no more spot machines can be had, and only for
+   * what these would take too long to work off.
+   */
+  private double overflow() {
+    if (!allRefused(true)) {
+      return 0;
+    }
+    double work = 0;
+    for (Job j : ledger.jobs()) {
+      if (!j.cancelled && j.spec.spot()) {
+        work += j.pending * j.spec.cpus() * Math.max(1, j.spec.estimateS());
+      }
+    }
+    return Math.max(0, work / DRAIN_S - supply(true));
+  }
+
   private void hire() {
     while (!repeats.isEmpty() && spend()) {
       send(repeats.remove(0));
     }
     for (boolean spot : new boolean[] {false, true}) {
       double target = target(spot);
-      // Where spot is refused everywhere, arrays are served by ordinary machines.
-      if (!spot && !policy.generous() && allRefused(true)) {
-        target += Math.max(0, target(true) - supply(true));
-      }
+      keep(spot, target);
       while (supply(spot) < target && inFlight.size() < 6) {
         Kind kind = choose(spot, target - supply(spot));
         if (kind == null || !spend()) {
@@ -423,6 +443,45 @@
     refusedUntil.put(k, now + Math.min(30_000, 6_000L * n));
   }
 
+  /** Takes machines that were to be returned back into use while they are needed. */
+  private void keep(boolean spot, double target) {
+    for (Machine m : machines.present()) {
+      if (m.returning && !m.deleting && m.spot == spot && supply(spot) < target) {
+        m.returning = false;
+        ledger.somethingChanged();
+      }
+    }
+  }
+
+  /** Empties the least used machine that is not needed: arrays end soon, so it can be returned. */
+  private void shrink(boolean spot, double target) {
+    Machine least = null;
+    for (Machine m : machines.present()) {
+      boolean candidate =
+          m.spot == spot
+              && counts(m)
+              && m.lastReportAt != Job.UNKNOWN
+              && calls.now() - m.firstSeenAt > PAID_MS / 2
+              && !hasService(m)
+              && supply(spot) - m.shape.cpus() >= target;
+      if (candidate && (least == null || m.cpusUsed < least.cpusUsed)) {
+        least = m;
+      }
+    }
+    if (least != null) {
+      least.returning = true;
+    }
+  }
+
+  private boolean hasService(Machine m) {
+    for (long ref : Reports.copy(m.bound)) {
+      if (ledger.job(ref).spec.service()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void giveBack() {
     long now = calls.now();
     int present = 0;
@@ -431,6 +490,9 @@
       present++;
       sick += m.sick ? 1 : 0;
     }
+    for (boolean spot : new boolean[] {false, true}) {
+      shrink(spot, target(spot));
+    }
     for (Machine m : machines.present()) {
       if (m.deleting) {
         continue;
@@ -439,15 +501,12 @@
         discard(m, "every task fails there");
       }
       boolean idle =
-          !policy.generous()
+          m.returning
               && m.bound.isEmpty()
-              && m.lastReportAt != Job.UNKNOWN
-              && m.shape != null
-              && counts(m)
-              && now - Math.max(m.idleSince, m.firstSeenAt + 60_000) > 0
+              && now - m.firstSeenAt > PAID_MS - 5_000
               && now - m.idleSince > tunables.idleReturnS() * 1000;
-      if (idle && supply(m.spot) - m.shape.cpus() >= target(m.spot)) {
-        discard(m, "idle");
+      if (idle) {
+        discard(m, "not needed");
       }
     }
   }
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -14,14 +14,14 @@
   /** Seconds of preference for machines that the cloud may take back, where a job allows them. */
   private static final double ORDINARY_PENALTY_S = 10;
 
-  /** Share of an ordinary machine kept free of arrays, for services to start at once. */
-  private static final double SERVICE_RESERVE = 0.25;
-
   private final Calls calls;
   private final Ledger ledger;
   private final MachineBook machines;
   private final FleetPolicy policy;
 
+  /** CPUs that arrays leave free on each ordinary machine, for one replica to start at once. */
+  private double serviceReserve;
+
   Placer(Calls calls, Ledger ledger, MachineBook machines, FleetPolicy policy) {
     this.calls = calls;
     this.ledger = ledger;
@@ -39,7 +39,11 @@
       }
     }
     List<Job> waiting = new ArrayList<>();
+    serviceReserve = 0;
     for (Job j : ledger.jobs()) {
+      if (j.spec.service()) {
+        serviceReserve = Math.max(serviceReserve, j.spec.cpus());
+      }
       if (j.pending > 0 && !j.cancelled && now >= j.backOffUntil) {
         waiting.add(j);
       }
@@ -159,7 +163,7 @@
         !m.spot
             && !j.spec.service()
             && j.spec.priority() != Priority.PRODUCTION
-            && m.cpusFree() - j.spec.cpus() < m.shape.cpus() * SERVICE_RESERVE;
+            && m.cpusFree() - j.spec.cpus() < serviceReserve - 1e-6;
     return !intoReserve;
   }
 
