--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -66,6 +66,9 @@
   long backOffUntil;
   int failures;
 
+  /** When a task was last placed. */
+  long placedWall;
+
   /** The zone chosen for the whole of a gang, or -1. */
   int gangZone = -1;
 
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.snowturn.config.Settings;
 import org.snowturn.wire.Command;
@@ -198,6 +199,7 @@
   void bind(Job j, int t, Machine m, long attempt) {
     take(j, t, m, attempt, m.session);
     j.state[t] = Job.PLACING;
+    j.placedWall = calls.wall();
     j.inherited.clear(t);
     m.touchImage(j.spec.image(), j.spec.imageGb());
     writer.mark(
@@ -341,7 +343,7 @@
         (outcome, status, body) -> {
           j.finishing = false;
           if (outcome == Outcome.ANSWERED && status == 200) {
-            calls.note(id + " " + phase.wire());
+            calls.note(id + " " + phase.wire() + outcome(j));
             remove(id);
             dropLater(later);
           } else {
@@ -350,6 +352,23 @@
         });
   }
 
+  /** What an operator wants to know of a job that is over. */
+  private String outcome(Job j) {
+    double late = (calls.wall() - j.dueWall(1)) / 1000;
+    String due = late < -1e9 ? "no deadline" : String.format(Locale.ROOT, "%.1f s late", late);
+    return String.format(
+        Locale.ROOT,
+        ": %d tasks, estimate %.1f s, median %.1f s, placed whole after %.1f s, done after %.1f s,"
+            + " %s, %d restarts",
+        j.state.length,
+        j.spec.estimateS(),
+        j.median(),
+        (j.placedWall - j.submittedWall) / 1000.0,
+        (calls.wall() - j.submittedWall) / 1000.0,
+        due,
+        j.restarts);
+  }
+
   /** Removes records that no longer mean anything. */
   void dropLater(List<Change> drops) {
     int most = Math.max(1, settings.stateLimits().txnOps());
