--- /dev/null
+++ b/src/test/java/org/snowturn/sim/Rules.java
@@ -0,0 +1,74 @@
+package org.snowturn.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.snowturn.config.Settings;
+import org.snowturn.wire.JobSpec;
+
+/** Watches every step of the world for the rules of PROTOCOL. */
+final class Rules {
+  private final World world;
+  final TreeSet<String> broken = new TreeSet<>();
+  final List<String> details = new ArrayList<>();
+
+  Rules(World world) {
+    this.world = world;
+  }
+
+  void broke(String rule, String detail) {
+    broken.add(rule);
+    if (details.size() < 5) {
+      details.add(world.now + " " + rule + ": " + detail);
+    }
+  }
+
+  /** A task has its image and starts. */
+  void started(StandInWorker w, StandInWorker.Task t, JobSpec spec) {
+    int[] sameZone = {0};
+    int[] otherZone = {0};
+    for (StandInWorker other : world.workers.values()) {
+      for (StandInWorker.Task o : other.tasks.values()) {
+        if (!o.present || o == t || !o.job.equals(t.job)) {
+          continue;
+        }
+        if (o.index == t.index) {
+          broke("ran_twice", t.name() + " on " + w.rented.id + " and " + other.rented.id);
+        }
+        (other.rented.zone.equals(w.rented.zone) ? sameZone : otherZone)[0]++;
+      }
+    }
+    if ((w.rented.spot && !spec.spot())
+        || (spec.zone() != null && !spec.zone().equals(w.rented.zone))
+        || (spec.spread() && sameZone[0] + 1 > spec.perZoneLimit())
+        || (spec.oneZone() && otherZone[0] > 0)) {
+      broke("wrong_place", t.name() + " on " + w.rented.id);
+    }
+  }
+
+  /** Looks at the whole world, after every event. */
+  void check() {
+    Map<String, Double> use = new HashMap<>();
+    for (StandInWorker w : world.workers.values()) {
+      for (StandInWorker.Task t : w.tasks.values()) {
+        if (!t.present) {
+          continue;
+        }
+        JobSpec s = world.users.spec(t.job);
+        use.merge(s.team(), s.cpus(), Double::sum);
+        Long told = world.users.cancelTold(t.job);
+        double cancelMs = world.settings[0].workers().cancelS() * 1000;
+        if (told != null && world.now > told + cancelMs) {
+          broke("ran_cancelled", t.name());
+        }
+      }
+    }
+    for (Settings.Team t : world.settings[0].teams()) {
+      if (t.cpusMax() > 0 && use.getOrDefault(t.name(), 0.0) > t.cpusMax() + 1e-6) {
+        broke("quota", t.name() + " uses " + use.get(t.name()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -0,0 +1,357 @@
+package org.snowturn.sim;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.snowturn.config.Settings;
+import org.snowturn.config.Tunables;
+import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.Json;
+import org.snowturn.wire.MalformedException;
+
+/** A scenario file: settings, timed events and what must hold in the end. See scenarios/README. */
+final class Scenario {
+  private final List<String> lines = new ArrayList<>();
+  private final Map<String, String> options = new HashMap<>();
+
+  static Scenario read(Path file) throws IOException {
+    Scenario s = new Scenario();
+    for (String raw : Files.readAllLines(file)) {
+      String line = raw.replaceFirst("#.*", "").trim();
+      if (line.isEmpty()) {
+        continue;
+      }
+      String[] w = line.split("\\s+", 2);
+      if (w[0].equals("at") || w[0].equals("expect")) {
+        s.lines.add(line);
+      } else {
+        s.options.put(w[0], w.length > 1 ? w[1] : "");
+      }
+    }
+    return s;
+  }
+
+  long[] seeds() {
+    String[] w = options.getOrDefault("seeds", "1").split("\\s+");
+    long[] out = new long[w.length];
+    for (int i = 0; i < w.length; i++) {
+      out[i] = Long.parseLong(w[i]);
+    }
+    return out;
+  }
+
+  /** Runs it once; returns what went wrong, empty if nothing did. */
+  List<String> run(long seed) throws MalformedException {
+    World w = new World(seed, settings(), tunables());
+    w.cloud.perZone = Integer.parseInt(options.getOrDefault("capacity", "2"));
+    for (String s : options.getOrDefault("sabotage", "").split("\\s+")) {
+      w.sabotage.add(s);
+    }
+    List<String> zones = w.settings[0].zones();
+    int rented = Integer.parseInt(options.getOrDefault("machines", "3"));
+    for (int i = 0; i < rented; i++) {
+      w.cloud.rent(zones.get(i % zones.size()), false);
+    }
+    w.nodes.forEach(n -> w.after(w.random.nextInt(300), n::start));
+    for (String line : lines) {
+      String[] e = line.split("\\s+");
+      if (e[0].equals("at")) {
+        w.after((long) (Double.parseDouble(e[1]) * 1000), () -> event(w, e));
+      }
+    }
+    if (options.containsKey("chaos")) {
+      new Chaos(w).start(Long.parseLong(options.get("chaos")) * 1000);
+    }
+    w.runUntil(Long.parseLong(options.getOrDefault("until", "120")) * 1000);
+    return verdict(w);
+  }
+
+  private Tunables tunables() {
+    Tunables d = Tunables.defaults();
+    double gain = Double.parseDouble(options.getOrDefault("gain", "" + d.gainFactor()));
+    boolean on = !options.getOrDefault("speculation", "on").equals("off");
+    double cap = Double.parseDouble(options.getOrDefault("cap", "" + d.speculativeCap()));
+    return new Tunables(
+        d.leaderTtlS(),
+        on,
+        cap,
+        d.slowTaskPercentile(),
+        d.slowNodePercentile(),
+        d.judgeAfterS(),
+        gain,
+        d.idleReturnS(),
+        d.bootPatience(),
+        d.sickErrors());
+  }
+
+  private Settings[] settings() {
+    List<Settings.Team> teams = new ArrayList<>();
+    for (String t : options.getOrDefault("teams", "t:0").split("\\s+")) {
+      String[] p = t.split(":");
+      teams.add(new Settings.Team(p[0], 0, Double.parseDouble(p[1]), 0, 0));
+    }
+    double share = Double.parseDouble(options.getOrDefault("on-time", "0.99"));
+    Settings[] out = new Settings[3];
+    for (int i = 0; i < out.length; i++) {
+      List<Settings.Peer> peers = new ArrayList<>();
+      for (int p = 0; p < out.length; p++) {
+        if (p != i) {
+          peers.add(new Settings.Peer("n" + p, new InetSocketAddress("127.0.0.1", 1 + p)));
+        }
+      }
+      InetSocketAddress none = new InetSocketAddress("127.0.0.1", 1);
+      out[i] =
+          new Settings(
+              "n" + i,
+              "abc".substring(i, i + 1),
+              none,
+              none,
+              peers,
+              none,
+              none,
+              List.of("a", "b", "c"),
+              teams,
+              List.of(new Settings.Objective("deadline", "c", share, 1, 0)),
+              new Settings.Workers(2, 10, 30),
+              new Settings.StateLimits(150, 40, 4, 12),
+              new Settings.CloudLimits(4, 3),
+              1000);
+    }
+    return out;
+  }
+
+  private static Map<String, String> named(String[] e, int from) {
+    Map<String, String> out = new HashMap<>();
+    for (int i = from; i < e.length; i++) {
+      int eq = e[i].indexOf('=');
+      if (eq > 0) {
+        out.put(e[i].substring(0, eq), e[i].substring(eq + 1));
+      }
+    }
+    return out;
+  }
+
+  static JobSpec spec(String id, String kind, Map<String, String> o) {
+    var n = Json.object();
+    n.put("id", id).put("jobclass", "c").put("owner", o.getOrDefault("team", "t"));
+    n.put("shape", kind).put("rank", o.getOrDefault("rank", "high"));
+    n.put("flakes", Integer.parseInt(o.getOrDefault("tasks", "1")));
+    n.put("cores", Double.parseDouble(o.getOrDefault("cpus", "2"))).put("cards", 0.0);
+    n.put("ram_gb", 4.0).put("bundle", o.getOrDefault("image", "img")).put("size_gb", 0.5);
+    n.put("same_place", o.containsKey("one-zone")).put("spread", o.containsKey("spread"));
+    n.put("loaners", !o.containsKey("ordinary")).put("guess_s", 10.0);
+    n.put("cairn_s", 0.0).put("stash_s", 0.0);
+    if (o.containsKey("due")) {
+      n.put("due_s", Double.parseDouble(o.get("due")));
+    }
+    try {
+      return JobSpec.parse(n);
+    } catch (MalformedException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  private static StandInWorker workerOf(World w, String task) {
+    for (StandInWorker x : w.workers.values()) {
+      for (StandInWorker.Task t : x.tasks.values()) {
+        if (t.alive() && t.name().equals(task)) {
+          return x;
+        }
+      }
+    }
+    throw new IllegalStateException("at " + w.now + ": no machine has " + task);
+  }
+
+  private static String who(World w, String name) {
+    if (!name.equals("leader")) {
+      return name;
+    }
+    if (w.leader() == null) {
+      throw new IllegalStateException("at " + w.now + ": nobody leads");
+    }
+    return w.leader().name;
+  }
+
+  private static long ms(String seconds) {
+    return (long) (Double.parseDouble(seconds) * 1000);
+  }
+
+  private void event(World w, String[] e) {
+    switch (e[2]) {
+      case "submit" -> {
+        Map<String, String> o = named(e, 5);
+        Map<Integer, Long> odd = new HashMap<>();
+        if (o.containsKey("odd")) {
+          String[] p = o.get("odd").split(":");
+          odd.put(Integer.parseInt(p[0]), ms(p[1]));
+        }
+        w.users.submit(spec(e[3], e[4], o), ms(o.getOrDefault("run", "10")), odd);
+      }
+      case "cancel" -> w.users.cancel(e[3]);
+      case "repeat" -> w.users.repeat(e[3]);
+      case "poll" -> w.users.pollOnce(e[3]);
+      case "crash" -> {
+        if (e[3].equals("all")) {
+          w.nodes.forEach(n -> n.crash(ms(e[4])));
+        } else {
+          w.node(who(w, e[3])).crash(ms(e[4]));
+        }
+      }
+      case "pause" -> w.node(who(w, e[3])).pause(ms(e[4]));
+      case "cut" -> cut(w, who(w, e[3]), e[4], ms(e[5]), e.length > 6 ? e[6] : "drop");
+      case "outage" -> w.state.outage(ms(e[3]));
+      case "refuse" -> {
+        String node = who(w, e[3]);
+        w.state.refusing.add(node);
+        w.after(ms(e[4]), () -> w.state.refusing.remove(node));
+      }
+      case "lose-replies" -> {
+        w.state.loseReplies = Double.parseDouble(e[3]);
+        w.after(ms(e[4]), () -> w.state.loseReplies = 0);
+      }
+      case "late-txns" -> {
+        w.state.lateTxns = Double.parseDouble(e[3]);
+        w.after(ms(e[4]), () -> w.state.lateTxns = 0);
+      }
+      case "late-commands" -> {
+        w.delayCommands(ms(e[3]));
+        w.after(ms(e[4]), () -> w.delayCommands(0));
+      }
+      case "cloud-outage" -> {
+        w.cloud.outage = true;
+        w.after(ms(e[3]), () -> w.cloud.outage = false);
+      }
+      case "lose-hire" -> w.cloud.loseNextHire = true;
+      case "list-lag" -> w.cloud.listLagMs = ms(e[3]);
+      case "kill" -> w.cloud.fail(workerOf(w, e[3]).rented);
+      case "take" -> w.cloud.end(workerOf(w, e[3]).rented.id);
+      case "notice" -> {
+        StandInWorker x = workerOf(w, e[3]);
+        x.noticeS = Double.parseDouble(e[4]);
+        w.after(ms(e[4]), () -> w.cloud.end(x.rented.id));
+      }
+      case "hang" -> {
+        StandInWorker x = workerOf(w, e[3]);
+        x.hung = true;
+        w.after(ms(e[4]), () -> x.hung = false);
+      }
+      case "isolate" -> {
+        StandInWorker x = workerOf(w, e[3]);
+        w.nodes.forEach(n -> w.cut(x.addr, n.name, World.Cut.HOLD));
+        w.after(ms(e[4]), () -> w.nodes.forEach(n -> w.heal(x.addr, n.name)));
+      }
+      case "sick" -> workerOf(w, e[3]).sick = true;
+      case "slow" -> workerOf(w, e[3]).slow = Double.parseDouble(e[4]);
+      case "slow-machine" ->
+          w.workers.values().stream().skip(Integer.parseInt(e[3])).findFirst().orElseThrow().slow =
+              Double.parseDouble(e[4]);
+      default -> throw new IllegalArgumentException("unknown event: " + e[2]);
+    }
+  }
+
+  private static void cut(World w, String node, String from, long ms, String how) {
+    World.Cut mode = how.equals("hold") ? World.Cut.HOLD : World.Cut.DROP;
+    List<String> ends = new ArrayList<>();
+    boolean all = from.equals("all");
+    if (all || from.equals("state")) {
+      ends.add("state");
+    }
+    if (all || from.equals("cloud")) {
+      ends.add("cloud");
+    }
+    if (all || from.equals("workers")) {
+      ends.addAll(w.workers.keySet());
+    }
+    if (all || from.equals("peers")) {
+      w.nodes.stream().map(n -> n.name).filter(n -> !n.equals(node)).forEach(ends::add);
+    }
+    if (all) {
+      ends.add("user");
+    }
+    ends.forEach(x -> w.cut(node, x, mode));
+    w.after(ms, () -> ends.forEach(x -> w.heal(node, x)));
+  }
+
+  private List<String> verdict(World w) {
+    List<String> wrong = new ArrayList<>();
+    List<String> brokenExpected = new ArrayList<>();
+    for (String line : lines) {
+      String[] e = line.split("\\s+");
+      if (!e[0].equals("expect")) {
+        continue;
+      }
+      switch (e[1]) {
+        case "done", "aborted" -> {
+          Users.Mine m = w.users.job(e[2]);
+          boolean late = e.length > 4 && m.doneAt > ms(e[4]);
+          if (!e[1].equals(m.terminal) || late) {
+            wrong.add(line + ", but " + m.terminal + " at " + m.doneAt);
+          }
+        }
+        case "all-over" -> {
+          for (Users.Mine m : w.users.all()) {
+            if (m.terminal == null && !m.spec.service()) {
+              wrong.add(m.spec.id() + " is not over");
+            }
+          }
+        }
+        case "running" -> {
+          int n = 0;
+          for (StandInWorker x : w.workers.values()) {
+            for (StandInWorker.Task t : x.tasks.values()) {
+              n += t.present && t.job.equals(e[2]) ? 1 : 0;
+            }
+          }
+          if (n != Integer.parseInt(e[3])) {
+            wrong.add(line + ", but " + n);
+          }
+        }
+        case "refused" -> {
+          if (!e[3].equals(w.users.job(e[2]).refused)) {
+            wrong.add(line + ", but " + w.users.job(e[2]).refused);
+          }
+        }
+        case "note", "no-note" -> {
+          String text = line.split("\\s+", 3)[2];
+          boolean found = w.log.stream().anyMatch(l -> l.contains(text));
+          if (found != e[1].equals("note")) {
+            wrong.add(line);
+          }
+        }
+        case "notes" -> {
+          String text = line.split("\\s+", 4)[3];
+          long n = w.log.stream().filter(l -> l.contains(text)).count();
+          if (n != Long.parseLong(e[2])) {
+            wrong.add(line + ", but " + n);
+          }
+        }
+        case "keys" -> {
+          if (w.state.count(e[2]) != Integer.parseInt(e[3])) {
+            wrong.add(line + ", but " + w.state.count(e[2]));
+          }
+        }
+        case "broken" -> brokenExpected.add(e[2]);
+        default -> throw new IllegalArgumentException("unknown expectation: " + line);
+      }
+    }
+    if (brokenExpected.isEmpty()) {
+      wrong.addAll(w.rules.details);
+    } else {
+      for (String rule : brokenExpected) {
+        if (!w.rules.broken.contains(rule)) {
+          wrong.add("the checker did not see " + rule + " broken");
+        }
+      }
+    }
+    if (!wrong.isEmpty()) {
+      List<String> tail = w.log.subList(Math.max(0, w.log.size() - 40), w.log.size());
+      wrong.add("last notes:\n" + String.join("\n", tail));
+    }
+    return wrong;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/sim/StandInCloud.java
@@ -0,0 +1,160 @@
+package org.snowturn.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Outcome;
+import org.snowturn.wire.Json;
+
+/** The cloud: a catalog of one type, capacity per zone, a list that lags, lost replies. */
+final class StandInCloud {
+  static final double CPUS = 8;
+  static final double MEMORY = 32;
+
+  /** What the cloud knows of a machine. */
+  static final class Rented {
+    String id;
+    String zone;
+    boolean spot;
+    long at;
+    long goneAt = Long.MAX_VALUE;
+    boolean failed;
+    StandInWorker worker;
+  }
+
+  private final World world;
+  final TreeMap<String, Rented> machines = new TreeMap<>();
+  private final Map<String, List<String>> answered = new LinkedHashMap<>();
+  private final Map<String, Integer> capacity = new HashMap<>();
+  int perZone = 2;
+  long bootMs = 4000;
+  boolean outage;
+  boolean loseNextHire;
+  long listLagMs = 3000;
+  private int next = 1;
+
+  StandInCloud(World world) {
+    this.world = world;
+  }
+
+  void take(Effect.Call c, World.Reply back) {
+    if (outage) {
+      back.on(Outcome.REFUSED, 503, Json.object().put("error", "trouble"));
+    } else if (c.path().equals("/catalog")) {
+      back.on(Outcome.ANSWERED, 200, catalog());
+    } else if (c.path().equals("/machines")) {
+      hire(c.body(), back);
+    } else if (c.path().equals("/machines/delete")) {
+      for (JsonNode n : c.body().path("drifts")) {
+        if (!world.sabotage.contains("keep_deleted")) {
+          end(n.asText());
+        }
+      }
+      back.on(Outcome.ANSWERED, 200, Json.object());
+    } else {
+      back.on(Outcome.ANSWERED, 200, list());
+    }
+  }
+
+  private JsonNode catalog() {
+    ObjectNode o = Json.object();
+    ObjectNode t = o.putArray("hulls").addObject();
+    t.put("label", "t8").put("cores", CPUS).put("cards", 0).put("ram_gb", MEMORY);
+    t.put("local_gb", 20).put("pull_gb_per_s", 1.0).put("hourly", 1.0).put("market_price", 0.3);
+    t.put("ready_s", bootMs / 1000.0);
+    ArrayNode zones = t.putArray("fields");
+    world.settings[0].zones().forEach(zones::add);
+    return o;
+  }
+
+  private void hire(JsonNode body, World.Reply back) {
+    String name = body.path("hire").asText();
+    List<String> ids = answered.get(name);
+    if (ids == null) {
+      ids = new ArrayList<>();
+      String kind = body.path("field").asText() + body.path("loaners").asBoolean();
+      int free = capacity.computeIfAbsent(kind, k -> perZone);
+      int count = Math.min(free, body.path("number").asInt());
+      if (count == 0) {
+        back.on(Outcome.REFUSED, 503, Json.object().put("error", "no capacity"));
+        return;
+      }
+      capacity.put(kind, free - count);
+      for (int i = 0; i < count; i++) {
+        ids.add(rent(body.path("field").asText(), body.path("loaners").asBoolean()));
+      }
+      answered.put(name, ids);
+    }
+    ObjectNode o = Json.object();
+    ids.forEach(o.putArray("drifts")::add);
+    if (loseNextHire) {
+      loseNextHire = false;
+    } else {
+      back.on(Outcome.ANSWERED, 200, o);
+    }
+  }
+
+  /** Rents a machine; its worker starts to report once it is up. */
+  String rent(String zone, boolean spot) {
+    Rented r = new Rented();
+    r.id = String.format("i-%06d", next++);
+    r.zone = zone;
+    r.spot = spot;
+    r.at = world.now;
+    machines.put(r.id, r);
+    world.after(
+        world.jitter(bootMs),
+        () -> {
+          if (r.goneAt == Long.MAX_VALUE && !r.failed) {
+            r.worker = new StandInWorker(world, r);
+            world.workers.put(r.worker.addr, r.worker);
+            r.worker.boot();
+          }
+        });
+    return r.id;
+  }
+
+  /** The machine and all on it are gone at once. */
+  void end(String id) {
+    Rented r = machines.get(id);
+    if (r == null || r.goneAt != Long.MAX_VALUE) {
+      return;
+    }
+    r.goneAt = world.now;
+    capacity.merge(r.zone + r.spot, 1, Integer::sum);
+    if (r.worker != null) {
+      r.worker.die();
+    }
+  }
+
+  /** The machine stops on its own; the cloud says so about 30 s later. */
+  void fail(Rented r) {
+    if (r.worker != null) {
+      r.worker.die();
+    }
+    world.after(30_000, () -> r.failed = true);
+  }
+
+  private JsonNode list() {
+    long asOf = world.now - listLagMs;
+    ObjectNode o = Json.object().put("truncated", false);
+    ArrayNode a = o.putArray("drifts");
+    for (Rented r : machines.values()) {
+      if (r.at > asOf || r.goneAt <= asOf) {
+        continue;
+      }
+      ObjectNode n = a.addObject();
+      n.put("id", r.id).put("addr", r.id + ":1").put("hull", "t8").put("field", r.zone);
+      n.put("loaners", r.spot).put("held_s", (asOf - r.at) / 1000.0);
+      n.put("phase", r.failed ? "failed" : r.worker == null ? "starting" : "running");
+    }
+    return o;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/sim/StandInState.java
@@ -0,0 +1,270 @@
+package org.snowturn.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Outcome;
+import org.snowturn.wire.Json;
+
+/** The state service: versions, leases, watches, outages, lost replies, late execution. */
+final class StandInState {
+  private record Value(JsonNode json, long stamp, long lease) {}
+
+  private record Change(long stamp, String key, JsonNode json) {}
+
+  private static final class Lease {
+    long ttl;
+    long until;
+  }
+
+  private final World world;
+  private final TreeMap<String, Value> kv = new TreeMap<>();
+  private final Map<Long, Lease> leases = new HashMap<>();
+  private final List<Change> history = new ArrayList<>();
+  private final List<Runnable> watches = new ArrayList<>();
+  final Set<String> refusing = new HashSet<>();
+  boolean outage;
+  double loseReplies;
+  double lateTxns;
+  private long epoch;
+  private long nextLease = 1;
+
+  StandInState(World world) {
+    this.world = world;
+  }
+
+  void outage(long ms) {
+    outage = true;
+    world.after(
+        ms,
+        () -> {
+          outage = false;
+          leases.values().forEach(l -> l.until = world.now + l.ttl);
+        });
+  }
+
+  private void expire() {
+    if (outage) {
+      return;
+    }
+    for (Long id : List.copyOf(leases.keySet())) {
+      if (leases.get(id).until < world.now) {
+        end(id);
+      }
+    }
+  }
+
+  private void end(long id) {
+    leases.remove(id);
+    List<String> gone = new ArrayList<>();
+    kv.forEach(
+        (k, v) -> {
+          if (v.lease == id) {
+            gone.add(k);
+          }
+        });
+    if (!gone.isEmpty()) {
+      epoch++;
+      gone.forEach(k -> change(k, null, 0));
+      wake();
+    }
+  }
+
+  private void change(String key, JsonNode json, long lease) {
+    if (json == null) {
+      kv.remove(key);
+    } else {
+      kv.put(key, new Value(json, epoch, lease));
+    }
+    history.add(new Change(epoch, key, json));
+  }
+
+  private void wake() {
+    List<Runnable> all = List.copyOf(watches);
+    watches.clear();
+    all.forEach(Runnable::run);
+  }
+
+  void take(String from, Effect.Call c, World.Reply back) {
+    expire();
+    if (outage || refusing.contains(from)) {
+      back.on(Outcome.REFUSED, 503, null);
+      return;
+    }
+    boolean txn = c.path().equals("/txn");
+    if (txn && world.random.nextDouble() < lateTxns) {
+      // No reply now, executed a good while later.
+      world.after(4000 + world.random.nextInt(15_000), () -> execute(c, (o, s, b) -> {}));
+      return;
+    }
+    boolean lose = txn && world.random.nextDouble() < loseReplies;
+    execute(c, lose ? (o, s, b) -> {} : back);
+  }
+
+  private void execute(Effect.Call c, World.Reply back) {
+    expire();
+    if (outage) {
+      return;
+    }
+    String path = c.path();
+    if (path.equals("/txn")) {
+      txn(c.body(), back);
+    } else if (path.equals("/leases")) {
+      Lease l = new Lease();
+      l.ttl = c.body().path("life_ms").asLong();
+      l.until = world.now + l.ttl;
+      leases.put(nextLease, l);
+      ok(back, Json.object().put("hold", nextLease++));
+    } else if (path.startsWith("/leases/")) {
+      long id = Long.parseLong(path.split("/")[2]);
+      Lease l = leases.get(id);
+      if (l == null) {
+        back.on(Outcome.ANSWERED, 404, null);
+      } else if (c.method().equals("DELETE")) {
+        end(id);
+        ok(back, Json.object());
+      } else {
+        l.until = world.now + l.ttl;
+        ok(back, Json.object());
+      }
+    } else if (path.startsWith("/watch?")) {
+      Map<String, String> q = query(path);
+      watch(q, world.now + Long.parseLong(q.get("hold_ms")), back);
+    } else if (path.startsWith("/kv?")) {
+      range(query(path), back);
+    } else {
+      String key = path.substring("/kv/".length());
+      Value v = kv.get(key);
+      if (v == null) {
+        back.on(Outcome.ANSWERED, 404, Json.object().put("epoch", epoch));
+      } else {
+        ok(back, entry(key, v));
+      }
+    }
+  }
+
+  private static ObjectNode entry(String key, Value v) {
+    ObjectNode o = Json.object().put("path", key).put("stamp", v.stamp).put("hold", v.lease);
+    o.set("value", v.json.deepCopy());
+    return o;
+  }
+
+  private void ok(World.Reply back, JsonNode body) {
+    back.on(Outcome.ANSWERED, 200, body);
+  }
+
+  private static Map<String, String> query(String path) {
+    Map<String, String> q = new HashMap<>();
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      int eq = part.indexOf('=');
+      q.put(part.substring(0, eq), part.substring(eq + 1));
+    }
+    return q;
+  }
+
+  private void range(Map<String, String> q, World.Reply back) {
+    int most = Integer.parseInt(q.getOrDefault("most", "1000"));
+    ObjectNode o = Json.object().put("epoch", epoch);
+    ArrayNode entries = o.putArray("entries");
+    boolean more = false;
+    for (Map.Entry<String, Value> e : kv.tailMap(q.get("prefix")).entrySet()) {
+      if (!e.getKey().startsWith(q.get("prefix"))) {
+        break;
+      }
+      if (q.containsKey("since") && e.getKey().compareTo(q.get("since")) <= 0) {
+        continue;
+      }
+      if (entries.size() == most) {
+        more = true;
+        break;
+      }
+      entries.add(entry(e.getKey(), e.getValue()));
+    }
+    ok(back, o.put("truncated", more));
+  }
+
+  private void watch(Map<String, String> q, long until, World.Reply back) {
+    ObjectNode o = Json.object().put("epoch", epoch);
+    ArrayNode news = o.putArray("news");
+    long since = Long.parseLong(q.get("since"));
+    for (Change h : history) {
+      if (h.stamp > since && h.key.startsWith(q.get("prefix"))) {
+        ObjectNode n = news.addObject().put("stamp", h.stamp);
+        if (h.json == null) {
+          n.put("drop", h.key);
+        } else {
+          n.put("write", h.key).set("value", h.json.deepCopy());
+        }
+      }
+    }
+    if (!news.isEmpty() || world.now >= until) {
+      ok(back, o);
+      return;
+    }
+    boolean[] done = {false};
+    Runnable again =
+        () -> {
+          if (!done[0]) {
+            done[0] = true;
+            watch(q, until, back);
+          }
+        };
+    watches.add(again);
+    world.after(until - world.now, again);
+  }
+
+  private void txn(JsonNode body, World.Reply back) {
+    List<String> failed = new ArrayList<>();
+    for (JsonNode c : body.path("when")) {
+      Value v = kv.get(c.path("path").asText());
+      if ((v == null ? 0 : v.stamp) != c.path("stamp").asLong()) {
+        failed.add(c.path("path").asText());
+      }
+    }
+    if (!failed.isEmpty() && !world.sabotage.contains("ignore_conditions")) {
+      ObjectNode o = Json.object().put("epoch", epoch);
+      failed.forEach(o.putArray("failed")::add);
+      back.on(Outcome.ANSWERED, 409, o);
+      return;
+    }
+    for (JsonNode c : body.path("apply")) {
+      if (c.has("hold") && !leases.containsKey(c.path("hold").asLong())) {
+        back.on(Outcome.ANSWERED, 400, Json.object().put("error", "no such lease"));
+        return;
+      }
+    }
+    epoch++;
+    for (JsonNode c : body.path("apply")) {
+      if (c.has("drop")) {
+        if (kv.containsKey(c.path("drop").asText())) {
+          change(c.path("drop").asText(), null, 0);
+        }
+      } else {
+        change(c.path("write").asText(), c.path("value").deepCopy(), c.path("hold").asLong(0));
+      }
+    }
+    ok(back, Json.object().put("epoch", epoch));
+    wake();
+  }
+
+  /** A stored value, for tests to look at; null if there is none. */
+  JsonNode peek(String key) {
+    return kv.containsKey(key) ? kv.get(key).json : null;
+  }
+
+  int count(String prefix) {
+    int n = 0;
+    for (String k : kv.keySet()) {
+      n += k.startsWith(prefix) ? 1 : 0;
+    }
+    return n;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/sim/StandInWorker.java
@@ -0,0 +1,279 @@
+package org.snowturn.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.snowturn.config.Settings;
+import org.snowturn.core.Input;
+import org.snowturn.core.Outcome;
+import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.Json;
+import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.Report;
+
+/** A worker as PROTOCOL describes it. */
+final class StandInWorker {
+  /** A task on the machine. */
+  static final class Task {
+    String job;
+    int index;
+    long attempt;
+    String phase = "pulling";
+    String cause;
+    boolean present;
+
+    String name() {
+      return job + "/" + index;
+    }
+
+    boolean alive() {
+      return !phase.equals("ended");
+    }
+  }
+
+  final World world;
+  final StandInCloud.Rented rented;
+  final String addr;
+  final Map<String, Task> tasks = new LinkedHashMap<>();
+  boolean dead;
+  boolean hung;
+  boolean sick;
+  double slow = 1;
+  double noticeS = Double.NaN;
+  private long session = 1;
+  private long seq;
+  private long token;
+  private long leaseFrom;
+  private int at;
+  private long generation;
+
+  StandInWorker(World world, StandInCloud.Rented rented) {
+    this.world = world;
+    this.rented = rented;
+    this.addr = rented.id + ":1";
+  }
+
+  private Settings.Workers figures() {
+    return world.settings[0].workers();
+  }
+
+  void boot() {
+    leaseFrom = world.now;
+    at = world.random.nextInt(world.nodes.size());
+    watchLease();
+    report();
+  }
+
+  void die() {
+    dead = true;
+    tasks.clear();
+  }
+
+  private void watchLease() {
+    if (dead) {
+      return;
+    }
+    long lease = (long) (figures().leaseS() * 1000);
+    if (world.now - leaseFrom > lease && !world.sabotage.contains("immortal_sessions")) {
+      tasks.clear();
+      session++;
+      leaseFrom = world.now;
+    }
+    world.after(50, this::watchLease);
+  }
+
+  private ObjectNode body() {
+    ObjectNode o = Json.object();
+    o.put("drift", rented.id).put("addr", addr).put("hull", "t8").put("field", rented.zone);
+    o.put("loaners", rented.spot).put("thaw", session).put("tally", ++seq).put("baton", token);
+    if (!Double.isNaN(noticeS)) {
+      o.put("recall_s", noticeS);
+    }
+    ArrayNode a = o.putArray("flakes");
+    for (Task t : tasks.values()) {
+      ObjectNode n = a.addObject().put("flake", t.name()).put("try", t.attempt);
+      n.put("phase", t.phase);
+      if (t.cause != null) {
+        n.put("cause", t.cause);
+      }
+    }
+    return o;
+  }
+
+  private void report() {
+    if (dead) {
+      return;
+    }
+    if (hung) {
+      world.after(200, this::report);
+      return;
+    }
+    World.Node node = world.nodes.get(at);
+    long sentAt = world.now;
+    long inSession = session;
+    long mine = ++generation;
+    Report r;
+    try {
+      r = Report.parse(body());
+    } catch (MalformedException e) {
+      throw new IllegalStateException(e);
+    }
+    world.send(
+        addr,
+        node.name,
+        () ->
+            node.request(
+                addr,
+                x -> new Input.CheckIn(x, r),
+                (status, reply) -> {
+                  if (mine == generation && !dead && !hung) {
+                    generation++;
+                    answered(status, reply, sentAt, inSession);
+                  }
+                }));
+    world.after(
+        4000,
+        () -> {
+          if (mine == generation) {
+            generation++;
+            next(1000);
+          }
+        });
+  }
+
+  private void next(long ms) {
+    at = (at + 1) % world.nodes.size();
+    world.after(ms, this::report);
+  }
+
+  private void answered(int status, JsonNode reply, long sentAt, long inSession) {
+    if (status == 421 && reply != null && reply.has("steward")) {
+      String name = reply.path("steward").asText();
+      for (int i = 0; i < world.nodes.size(); i++) {
+        if (world.nodes.get(i).name.equals(name) && i != at) {
+          at = i;
+          world.after(world.random.nextInt(500), this::report);
+          return;
+        }
+      }
+    }
+    if (status != 200) {
+      next(1000);
+      return;
+    }
+    long given = reply.path("baton").asLong();
+    if (given >= token && inSession == session) {
+      token = given;
+      leaseFrom = Math.max(leaseFrom, sentAt);
+      execute(reply.path("orders"));
+    }
+    long every = (long) (figures().reportS() * 1000);
+    world.after(every * 3 / 4 + world.random.nextInt((int) (every / 2)), this::report);
+  }
+
+  /** A direct command; a hung machine executes it when it resumes. */
+  void command(JsonNode body, World.Reply back) {
+    if (dead) {
+      return;
+    }
+    if (hung) {
+      world.after(300, () -> command(body, back));
+      return;
+    }
+    boolean stale = body.path("baton").asLong() < token && !world.sabotage.contains("any_token");
+    if (stale || body.path("thaw").asLong() != session) {
+      back.on(Outcome.ANSWERED, 409, body());
+      return;
+    }
+    token = Math.max(token, body.path("baton").asLong());
+    execute(body.path("orders"));
+    back.on(Outcome.ANSWERED, 200, body());
+  }
+
+  private void execute(JsonNode orders) {
+    for (JsonNode o : orders) {
+      String name = o.path("flake").asText();
+      long attempt = o.path("try").asLong();
+      String key = name + "#" + attempt;
+      Task t = tasks.get(key);
+      switch (o.path("verb").asText()) {
+        case "start" -> {
+          if (t == null) {
+            start(name, attempt, key);
+          }
+        }
+        case "halt" -> {
+          if (t != null && t.alive()) {
+            exit(t, "halted");
+          }
+        }
+        case "forget" -> {
+          if (t != null && !t.alive()) {
+            tasks.remove(key);
+          }
+        }
+        default -> throw new IllegalStateException("verb " + o);
+      }
+    }
+  }
+
+  private void start(String name, long attempt, String key) {
+    Task t = new Task();
+    int slash = name.lastIndexOf('/');
+    t.job = name.substring(0, slash);
+    t.index = Integer.parseInt(name.substring(slash + 1));
+    t.attempt = attempt;
+    JobSpec spec = world.users.spec(t.job);
+    boolean twice = false;
+    double cpus = 0;
+    for (Task other : tasks.values()) {
+      if (other.alive()) {
+        twice |= other.name().equals(name);
+        cpus += world.users.spec(other.job).cpus();
+      }
+    }
+    tasks.put(key, t);
+    if (spec == null) {
+      exit(t, "no_such");
+    } else if (twice) {
+      exit(t, "busy");
+    } else if (cpus + spec.cpus() > StandInCloud.CPUS) {
+      exit(t, "full");
+    } else {
+      long inSession = session;
+      world.after((long) (spec.imageGb() * 1000), () -> run(t, spec, inSession));
+    }
+  }
+
+  private void run(Task t, JobSpec spec, long inSession) {
+    if (dead || inSession != session || !t.alive()) {
+      return;
+    }
+    t.phase = "running";
+    t.present = true;
+    world.rules.started(this, t, spec);
+    if (sick) {
+      exit(t, "error");
+    } else if (world.users.result(t.name())) {
+      exit(t, "done");
+    } else if (!spec.service()) {
+      long ms = (long) (world.users.runMs(t.job, t.index) * slow);
+      world.after(
+          ms,
+          () -> {
+            if (!dead && inSession == session && t.alive()) {
+              world.users.completed(t.name());
+              exit(t, "done");
+            }
+          });
+    }
+  }
+
+  private void exit(Task t, String cause) {
+    t.phase = "ended";
+    t.cause = cause;
+    t.present = false;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/sim/World.java
@@ -0,0 +1,292 @@
+package org.snowturn.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.snowturn.config.Settings;
+import org.snowturn.config.Tunables;
+import org.snowturn.core.Controller;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Input;
+import org.snowturn.core.Outcome;
+
+/**
+ * A small world in simulated time: controllers running the real core, and stand-ins for all they
+ * deal with. Everything is drawn from one seed, so a run repeats exactly.
+ */
+final class World {
+  private static final long TICK_MS = 40;
+
+  private record Event(long at, long order, Runnable run) {}
+
+  /** How a cut treats messages. */
+  enum Cut {
+    DROP,
+    HOLD
+  }
+
+  final Random random;
+  final Settings[] settings;
+  final Rules rules = new Rules(this);
+  final StandInState state = new StandInState(this);
+  final StandInCloud cloud = new StandInCloud(this);
+  final Users users = new Users(this);
+  final List<Node> nodes = new ArrayList<>();
+  final Map<String, StandInWorker> workers = new LinkedHashMap<>();
+  final Tunables tunables;
+  final Set<String> sabotage = new HashSet<>();
+  final List<String> log = new ArrayList<>();
+  long now;
+  private long order;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final Map<String, Cut> cuts = new LinkedHashMap<>();
+  private final Map<String, List<Runnable>> held = new LinkedHashMap<>();
+  private long lateCommandsMs;
+
+  World(long seed, Settings[] settings, Tunables tunables) {
+    this.random = new Random(seed);
+    this.settings = settings;
+    this.tunables = tunables;
+    for (Settings s : settings) {
+      nodes.add(new Node(s));
+    }
+  }
+
+  void after(long ms, Runnable run) {
+    events.add(new Event(now + Math.max(0, ms), order++, run));
+  }
+
+  void runUntil(long end) {
+    while (!events.isEmpty() && events.peek().at <= end) {
+      Event e = events.poll();
+      now = e.at;
+      e.run.run();
+      rules.check();
+    }
+    now = end;
+  }
+
+  long jitter(long ms) {
+    return ms + random.nextInt((int) Math.max(1, ms));
+  }
+
+  // --- the network ---
+
+  private static String pair(String a, String b) {
+    return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+  }
+
+  void cut(String a, String b, Cut how) {
+    cuts.put(pair(a, b), how);
+  }
+
+  void heal(String a, String b) {
+    cuts.remove(pair(a, b));
+    List<Runnable> late = held.remove(pair(a, b));
+    if (late != null) {
+      late.forEach(r -> after(jitter(2), r));
+    }
+  }
+
+  void healAll() {
+    for (String p : List.copyOf(cuts.keySet())) {
+      String[] ends = p.split("\\|");
+      heal(ends[0], ends[1]);
+    }
+  }
+
+  void delayCommands(long ms) {
+    lateCommandsMs = ms;
+  }
+
+  boolean connected(String a, String b) {
+    return !cuts.containsKey(pair(a, b));
+  }
+
+  /** Delivers a message after a delay, unless the way is cut. */
+  void send(String from, String to, Runnable deliver) {
+    Cut how = cuts.get(pair(from, to));
+    if (how == Cut.HOLD) {
+      held.computeIfAbsent(pair(from, to), k -> new ArrayList<>()).add(deliver);
+    } else if (how == null) {
+      after(jitter(1), deliver);
+    }
+  }
+
+  /** One controller: the real core, its calls and its life. */
+  final class Node {
+    final Settings settings;
+    final String name;
+    Controller core;
+    boolean up;
+    boolean paused;
+    private int life;
+    private final List<Input> backlog = new ArrayList<>();
+    private final Map<Long, Exchange> exchanges = new LinkedHashMap<>();
+    private long nextExchange = 1;
+
+    Node(Settings settings) {
+      this.settings = settings;
+      this.name = settings.node();
+    }
+
+    void start() {
+      if (up) {
+        return;
+      }
+      life++;
+      up = true;
+      paused = false;
+      backlog.clear();
+      core = new Controller(settings, tunables, name + "-" + life);
+      tick(life);
+    }
+
+    void crash(long backMs) {
+      up = false;
+      exchanges.clear();
+      after(backMs, this::start);
+    }
+
+    void pause(long ms) {
+      paused = true;
+      int mine = life;
+      after(
+          ms,
+          () -> {
+            if (mine == life && paused) {
+              paused = false;
+              List<Input> late = List.copyOf(backlog);
+              backlog.clear();
+              late.forEach(this::take);
+            }
+          });
+    }
+
+    private void tick(int mine) {
+      if (up && mine == life) {
+        take(new Input.Tick());
+        after(TICK_MS, () -> tick(mine));
+      }
+    }
+
+    private void take(Input input) {
+      if (!up) {
+        return;
+      }
+      if (paused) {
+        if (!(input instanceof Input.Tick)) {
+          backlog.add(input);
+        }
+        return;
+      }
+      for (Effect e : core.handle(now, now + 1_000_000, input)) {
+        perform(e);
+      }
+    }
+
+    private void perform(Effect e) {
+      if (e instanceof Effect.Answer a) {
+        Exchange x = exchanges.remove(a.exchange());
+        if (x != null) {
+          send(name, x.from, () -> x.answer.on(a.status(), a.body()));
+        }
+      } else if (e instanceof Effect.ToPeers p) {
+        for (Node peer : nodes) {
+          if (peer != this) {
+            send(name, peer.name, () -> peer.take(new Input.FromPeer(p.message())));
+          }
+        }
+      } else if (e instanceof Effect.Note n) {
+        log.add(now + " " + name + " " + n.text());
+      } else if (e instanceof Effect.Call c) {
+        call(c);
+      }
+    }
+
+    private void call(Effect.Call c) {
+      int mine = life;
+      boolean[] over = {false};
+      Reply reply =
+          (outcome, status, body) -> {
+            if (!over[0] && life == mine) {
+              over[0] = true;
+              take(new Input.Reply(c.id(), outcome, status, body));
+            }
+          };
+      after(c.timeoutMs(), () -> reply.on(Outcome.UNKNOWN, 0, null));
+      String to =
+          switch (c.target()) {
+            case STATE, STATE_WATCH -> "state";
+            case CLOUD -> "cloud";
+            default -> c.addr();
+          };
+      Reply back = (o, s, b) -> send(to, name, () -> reply.on(o, s, b));
+      Runnable deliver =
+          switch (c.target()) {
+            case STATE, STATE_WATCH -> () -> state.take(name, c, back);
+            case CLOUD -> () -> cloud.take(c, back);
+            default -> () -> direct(c, back);
+          };
+      if (c.target() == Effect.Target.WORKER && lateCommandsMs > 0) {
+        after(lateCommandsMs, deliver);
+      } else {
+        send(name, to, deliver);
+      }
+    }
+
+    private void direct(Effect.Call c, Reply back) {
+      StandInWorker w = workers.get(c.addr());
+      if (w != null) {
+        w.command(c.body(), back);
+      }
+    }
+
+    /** A request from outside; the answer may never come. */
+    void request(String from, java.util.function.LongFunction<Input> input, Answer answer) {
+      if (up) {
+        long id = nextExchange++;
+        exchanges.put(id, new Exchange(from, answer));
+        take(input.apply(id));
+      }
+    }
+  }
+
+  private record Exchange(String from, Answer answer) {}
+
+  /** Takes the reply to a call. */
+  interface Reply {
+    void on(Outcome outcome, int status, JsonNode body);
+  }
+
+  /** Takes the answer to a request. */
+  interface Answer {
+    void on(int status, JsonNode body);
+  }
+
+  Node leader() {
+    for (Node n : nodes) {
+      if (n.up && n.core.hasAuthority()) {
+        return n;
+      }
+    }
+    return null;
+  }
+
+  Node node(String name) {
+    for (Node n : nodes) {
+      if (n.name.equals(name)) {
+        return n;
+      }
+    }
+    return null;
+  }
+}
