--- a/src/main/java/org/snowturn/config/TunablesReader.java
+++ b/src/main/java/org/snowturn/config/TunablesReader.java
@@ -1,8 +1,8 @@
 package org.snowturn.config;
 
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.xml.XmlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/src/main/java/org/snowturn/core/Election.java
+++ b/src/main/java/org/snowturn/core/Election.java
@@ -344,7 +344,9 @@
         });
   }
 
-  /** A leader that can no longer serve told us so: end its lease if the state service answers us. */
+  /**
+   * A leader that can no longer serve told us so: end its lease if the state service answers us.
+   */
   private void endForPeer(PeerRecord.Resign r) {
     if (role == Role.LEADING) {
       return;
@@ -400,8 +402,7 @@
             .put("lease", lease);
     JsonNode txn =
         StateMessage.txn(
-            List.of(new Condition(Keys.LEADER, 0)),
-            List.of(new Change(Keys.LEADER, value, lease)));
+            List.of(new Condition(Keys.LEADER, 0)), List.of(new Change(Keys.LEADER, value, lease)));
     calls.state(
         "POST",
         "/txn",
--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -136,8 +136,7 @@
             }
           }
           listing = false;
-          nextListAt =
-              calls.now() + (long) (1000 * Math.max(3, 4 / settings.cloudLimits().rps()));
+          nextListAt = calls.now() + (long) (1000 * Math.max(3, 4 / settings.cloudLimits().rps()));
         });
   }
 
@@ -341,7 +340,8 @@
   private boolean allRefused(boolean spot) {
     for (MachineType t : catalog.all()) {
       for (String z : t.zones()) {
-        if (calls.now() >= refusedUntil.getOrDefault(new Kind(t.name(), machines.zone(z), spot), 0L)) {
+        if (calls.now()
+            >= refusedUntil.getOrDefault(new Kind(t.name(), machines.zone(z), spot), 0L)) {
           return false;
         }
       }
@@ -412,8 +412,16 @@
           m.firstSeenAt = m.firstSeenAt == 0 ? now : m.firstSeenAt;
         }
         calls.note(
-            "hired " + ids.size() + " of " + h.count + " " + h.kind.type + " in "
-                + machines.zoneName(h.kind.zone) + (h.kind.spot ? " (spot) " : " ") + ids);
+            "hired "
+                + ids.size()
+                + " of "
+                + h.count
+                + " "
+                + h.kind.type
+                + " in "
+                + machines.zoneName(h.kind.zone)
+                + (h.kind.spot ? " (spot) " : " ")
+                + ids);
         if (ids.size() < h.count) {
           refuse(h.kind, now);
         } else {
--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -18,13 +18,17 @@
  */
 final class Job {
   static final byte PENDING = 0;
+
   /** Its placement is being written; no start has been sent. */
   static final byte PLACING = 1;
+
   /** Its start may have been sent. */
   static final byte STARTING = 2;
+
   static final byte FETCHING = 3;
   static final byte RUNNING = 4;
   static final byte DONE = 5;
+
   /** No such time; far in the past, but safe to subtract from. */
   static final long UNKNOWN = Long.MIN_VALUE / 4;
 
@@ -140,12 +144,7 @@
       if (state[t] == DONE) {
         finished.set(t - from);
       } else if (isBound(t)) {
-        placed
-            .addArray()
-            .add(t)
-            .add(attempt[t])
-            .add(machines.get(machine[t]).id)
-            .add(session[t]);
+        placed.addArray().add(t).add(attempt[t]).add(machines.get(machine[t]).id).add(session[t]);
       }
     }
     o.put("d", Base64.getEncoder().encodeToString(finished.toByteArray()));
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -65,14 +65,11 @@
     FleetPolicy policy = FleetPolicy.of(settings);
     machines = new MachineBook(settings.zones(), m -> new Outbox(calls, this, m));
     writer = new Writer(calls, this, settings.stateLimits());
-    ledger =
-        new Ledger(calls, settings, writer, machines, new Quota(settings.teams()), token);
+    ledger = new Ledger(calls, settings, writer, machines, new Quota(settings.teams()), token);
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
     placer = new Placer(calls, ledger, machines, policy);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer);
-    fleet =
-        new Fleet(
-            calls, settings, tunables, catalog, machines, ledger, reports, policy, token);
+    fleet = new Fleet(calls, settings, tunables, catalog, machines, ledger, reports, policy, token);
     load();
   }
 
@@ -142,8 +139,7 @@
               js -> {
                 watchFrom = js.epoch();
                 loadedJobs = js.entries();
-                loader.read(
-                    Keys.TASKS, ts -> loader.read(Keys.RESTARTS, ss -> loaded(ts, ss)));
+                loader.read(Keys.TASKS, ts -> loader.read(Keys.RESTARTS, ss -> loaded(ts, ss)));
               });
         });
   }
@@ -204,8 +200,13 @@
       bound += j.bound;
     }
     calls.note(
-        "took over " + ledger.jobs().size() + " jobs, " + bound + " tasks on machines, in "
-            + (calls.now() - startedAt) + " ms");
+        "took over "
+            + ledger.jobs().size()
+            + " jobs, "
+            + bound
+            + " tasks on machines, in "
+            + (calls.now() - startedAt)
+            + " ms");
     // Ask the machines at once what they run: their reports may take a while to find this node.
     for (Machine m : machines.present()) {
       for (long ref : Reports.copy(m.bound)) {
@@ -384,7 +385,8 @@
         }
       }
     }
-    return calls.now() - startedAt > Reports.lapseMs(settings) && silent <= Math.max(2, heard * 2 / 3);
+    return calls.now() - startedAt > Reports.lapseMs(settings)
+        && silent <= Math.max(2, heard * 2 / 3);
   }
 
   private long silentMs() {
@@ -401,7 +403,9 @@
       }
       reports.lapse(m);
       if (m.lastReportAt == Job.UNKNOWN) {
-        if (m.bound.isEmpty() && m.recorded && now - startedAt > 2 * Reports.lapseMs(settings)
+        if (m.bound.isEmpty()
+            && m.recorded
+            && now - startedAt > 2 * Reports.lapseMs(settings)
             && m.listedAt == Job.UNKNOWN) {
           m.gone = true;
         }
@@ -537,7 +541,8 @@
       for (int t = 0; t < j.state.length && j.bound > 0; t++) {
         running += j.state[t] == Job.RUNNING ? 1 : 0;
       }
-      PeerRecord.Progress p = new PeerRecord.Progress(settings.node(), j.spec.id(), j.done, running);
+      PeerRecord.Progress p =
+          new PeerRecord.Progress(settings.node(), j.spec.id(), j.done, running);
       if (!p.equals(told.put(j.spec.id(), p))) {
         desk.progress(p);
         calls.toPeers(p);
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -333,8 +333,7 @@
       }
       writer.clear(s);
       if (s.stamp != 0) {
-        (apply.size() < settings.stateLimits().txnOps() ? apply : later)
-            .add(Change.delete(s.key));
+        (apply.size() < settings.stateLimits().txnOps() ? apply : later).add(Change.delete(s.key));
       }
     }
     writer.whole(
@@ -373,8 +372,7 @@
   void dropLater(List<Change> drops) {
     int most = Math.max(1, settings.stateLimits().txnOps());
     for (int i = 0; i < drops.size(); i += most) {
-      writer.whole(
-          List.of(), drops.subList(i, Math.min(drops.size(), i + most)), (o, s, b) -> {});
+      writer.whole(List.of(), drops.subList(i, Math.min(drops.size(), i + most)), (o, s, b) -> {});
     }
   }
 
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -63,7 +63,9 @@
   private final double[] ratios = new double[32];
   private int ratioCount;
 
-  /** Attempts whose direct start got no answer: it may still arrive, so they are never forgotten. */
+  /**
+   * Attempts whose direct start got no answer: it may still arrive, so they are never forgotten.
+   */
   final LongHashSet startsInDoubt = new LongHashSet();
 
   Outbox outbox;
--- a/src/main/java/org/snowturn/core/Outbox.java
+++ b/src/main/java/org/snowturn/core/Outbox.java
@@ -89,8 +89,7 @@
 
   private void answered(List<Long> doubts, Outcome outcome, int status, JsonNode body) {
     busy = false;
-    boolean settled =
-        outcome == Outcome.REFUSED || (outcome == Outcome.ANSWERED && status < 500);
+    boolean settled = outcome == Outcome.REFUSED || (outcome == Outcome.ANSWERED && status < 500);
     if (settled) {
       // An earlier copy that got no answer keeps its doubt: only this message's own are settled.
       doubts.forEach(a -> machine.startsInDoubt.remove(a.longValue()));
--- a/src/main/java/org/snowturn/core/PeerRecord.java
+++ b/src/main/java/org/snowturn/core/PeerRecord.java
@@ -19,7 +19,9 @@
   record Promise(String from, long seq, long token, int durationMs, boolean stateOk)
       implements PeerRecord {}
 
-  /** The sender can no longer serve as leader; whoever reaches the state service may end its lease. */
+  /**
+   * The sender can no longer serve as leader; whoever reaches the state service may end its lease.
+   */
   record Resign(String from, long lease, long token) implements PeerRecord {}
 
   /** How far a job is, for display. */
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -101,8 +101,7 @@
       if (best == null) {
         return false;
       }
-      ledger.bind(
-          j, t, best, j.spec.kind() == JobSpec.Kind.GANG ? attempt : ledger.newAttempt());
+      ledger.bind(j, t, best, j.spec.kind() == JobSpec.Kind.GANG ? attempt : ledger.newAttempt());
     }
     return true;
   }
--- a/src/main/java/org/snowturn/core/Speculator.java
+++ b/src/main/java/org/snowturn/core/Speculator.java
@@ -73,8 +73,7 @@
 
   private record Candidate(Job job, int task, boolean overdue, double left) {
     boolean before(Candidate o) {
-      return o == null
-          || (overdue != o.overdue ? overdue : left > o.left);
+      return o == null || (overdue != o.overdue ? overdue : left > o.left);
     }
   }
 
@@ -100,7 +99,10 @@
     double bar = workBar();
     Candidate best = null;
     for (Job j : ledger.jobs()) {
-      if (j.spec.kind() == JobSpec.Kind.ARRAY && !j.cancelled && !j.runTimes.isEmpty() && j.bound > 0) {
+      if (j.spec.kind() == JobSpec.Kind.ARRAY
+          && !j.cancelled
+          && !j.runTimes.isEmpty()
+          && j.bound > 0) {
         best = slowest(j, bar, best);
       }
     }
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -82,8 +82,7 @@
     StoredJob job = new StoredJob(JobView.Phase.QUEUED, calls.wall(), spec, spec.tasks());
     JsonNode body =
         StateMessage.txn(
-            List.of(
-                new Condition(Keys.job(spec.id()), 0), new Condition(Keys.over(spec.id()), 0)),
+            List.of(new Condition(Keys.job(spec.id()), 0), new Condition(Keys.over(spec.id()), 0)),
             List.of(Change.put(Keys.job(spec.id()), job.live())));
     calls.state(
         "POST",
@@ -92,8 +91,7 @@
         TIMEOUT_MS,
         (outcome, status, reply) -> {
           if (outcome == Outcome.ANSWERED && status == 200) {
-            calls.answer(
-                exchange, 201, new JobView(spec.id(), JobView.Phase.QUEUED, 0, 0).brief());
+            calls.answer(exchange, 201, new JobView(spec.id(), JobView.Phase.QUEUED, 0, 0).brief());
           } else if (outcome == Outcome.ANSWERED && status == 409) {
             lookUp(
                 exchange,
@@ -258,8 +256,7 @@
 
   private void writeCancel(long exchange, String id, StateMessage.Entry live, int tries) {
     JsonNode value = live.value().deepCopy();
-    ((com.fasterxml.jackson.databind.node.ObjectNode) value)
-        .put("p", JobView.Phase.ABORTED.wire());
+    ((com.fasterxml.jackson.databind.node.ObjectNode) value).put("p", JobView.Phase.ABORTED.wire());
     JsonNode body =
         StateMessage.txn(
             List.of(new Condition(Keys.job(id), live.stamp())),
@@ -272,8 +269,7 @@
         (outcome, status, reply) -> {
           if (outcome == Outcome.ANSWERED && status == 200) {
             over.put(id, new JobView(id, JobView.Phase.ABORTED, 0, 0));
-            calls.answer(
-                exchange, 200, new JobView(id, JobView.Phase.ABORTED, 0, 0).brief());
+            calls.answer(exchange, 200, new JobView(id, JobView.Phase.ABORTED, 0, 0).brief());
           } else if (outcome == Outcome.ANSWERED && status == 409 && tries > 1) {
             cancel(exchange, id, tries - 1);
           } else {
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -94,7 +94,7 @@
             .setByteBufferPool(buffers)
             .addHttpListener(
                 settings.serveOn().getPort(), settings.serveOn().getAddress().getHostAddress())
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Front.MAX_BODY)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 4L * Front.MAX_BODY)
             .setServerOption(UndertowOptions.IDLE_TIMEOUT, 60_000)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
--- a/src/main/java/org/snowturn/daemon/Rehearsal.java
+++ b/src/main/java/org/snowturn/daemon/Rehearsal.java
@@ -85,8 +85,12 @@
   private static void post(int port, String path, String body) throws Exception {
     request(
         port,
-        "POST " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: "
-            + body.length() + "\r\n\r\n" + body);
+        "POST "
+            + path
+            + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
   }
 
   private static void request(int port, String text) throws Exception {
--- a/src/main/java/org/snowturn/front/Front.java
+++ b/src/main/java/org/snowturn/front/Front.java
@@ -100,9 +100,7 @@
       finish(x, 404, null);
     } else if (cancel) {
       // A body, if any, is read and ignored, so that the connection can be used again.
-      receive(
-          x,
-          bytes -> open(x, "cancel", new Input.Cancel(nextExchange, id)));
+      receive(x, bytes -> open(x, "cancel", new Input.Cancel(nextExchange, id)));
     } else {
       open(x, "poll", new Input.Poll(nextExchange, id));
     }
@@ -137,13 +135,14 @@
       finish(x, 413, null);
       return;
     }
-    x.getRequestReceiver()
-        .receiveFullBytes(
-            (ex, bytes) -> then.accept(bytes),
-            (ex, e) -> {
-              ex.setPersistent(false);
-              finish(ex, e instanceof Receiver.RequestToLargeException ? 413 : 400, null);
-            });
+    Receiver receiver = x.getRequestReceiver();
+    receiver.setMaxBufferSize(MAX_BODY);
+    receiver.receiveFullBytes(
+        (ex, bytes) -> then.accept(bytes),
+        (ex, e) -> {
+          ex.setPersistent(false);
+          finish(ex, e instanceof Receiver.RequestToLargeException ? 413 : 400, null);
+        });
   }
 
   private void malformed(HttpServerExchange x, String why) {
--- a/src/main/java/org/snowturn/metrics/Metrics.java
+++ b/src/main/java/org/snowturn/metrics/Metrics.java
@@ -52,8 +52,7 @@
         (n, h) -> {
           String name = n.replace('.', '_') + "_seconds";
           for (double q : new double[] {50, 99, 99.9}) {
-            lines.put(
-                name + "{quantile=\"" + q / 100 + "\"}", h.getValueAtPercentile(q) / 1e6);
+            lines.put(name + "{quantile=\"" + q / 100 + "\"}", h.getValueAtPercentile(q) / 1e6);
           }
           lines.put(name + "_count", (double) h.getTotalCount());
         });
--- a/src/main/java/org/snowturn/net/HttpCaller.java
+++ b/src/main/java/org/snowturn/net/HttpCaller.java
@@ -188,8 +188,7 @@
 
     void send(ClientConnection c) {
       connection = c;
-      ClientRequest request =
-          new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+      ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
       request.getRequestHeaders().put(Headers.HOST, host);
       if (body != null) {
         request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
--- a/src/main/java/org/snowturn/peer/PeerCodec.java
+++ b/src/main/java/org/snowturn/peer/PeerCodec.java
@@ -79,8 +79,7 @@
           new PeerRecord.Promise(
               from, in.readLong(), in.readLong(), in.readInt(), in.readBoolean());
       case RESIGN -> new PeerRecord.Resign(from, in.readLong(), in.readLong());
-      case PROGRESS ->
-          new PeerRecord.Progress(from, in.readUTF(), in.readInt(), in.readInt());
+      case PROGRESS -> new PeerRecord.Progress(from, in.readUTF(), in.readInt(), in.readInt());
       default -> null;
     };
   }
--- a/src/main/java/org/snowturn/peer/PeerLinks.java
+++ b/src/main/java/org/snowturn/peer/PeerLinks.java
@@ -84,8 +84,7 @@
     }
 
     void open() {
-      IoFuture<StreamConnection> future =
-          io.openStreamConnection(peer, c -> {}, OptionMap.EMPTY);
+      IoFuture<StreamConnection> future = io.openStreamConnection(peer, c -> {}, OptionMap.EMPTY);
       future.addNotifier(
           (f, x) -> {
             if (f.getStatus() == IoFuture.Status.DONE) {
--- a/src/main/java/org/snowturn/state/StateClient.java
+++ b/src/main/java/org/snowturn/state/StateClient.java
@@ -1,13 +1,13 @@
 package org.snowturn.state;
 
 import java.util.function.Consumer;
+import org.snowturn.config.Settings;
 import org.snowturn.core.Effect;
 import org.snowturn.core.Input;
 import org.snowturn.core.Outcome;
 import org.snowturn.net.HttpCaller;
 import org.snowturn.net.Replies;
 import org.snowturn.wire.Json;
-import org.snowturn.config.Settings;
 
 /**
  * The client of the state service. It keeps this node's share of the request rate; what exceeds it
--- a/src/main/java/org/snowturn/wire/Fields.java
+++ b/src/main/java/org/snowturn/wire/Fields.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-/** Checked access to the fields of a JSON object; unknown fields are ignored, null counts as absent. */
+/**
+ * Checked access to the fields of a JSON object; unknown fields are ignored, null counts as absent.
+ */
 final class Fields {
   private final JsonNode node;
 
--- /dev/null
+++ b/src/test/java/org/snowturn/config/SettingsTest.java
@@ -0,0 +1,114 @@
+package org.snowturn.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsTest {
+  private static final String GOOD =
+      """
+      node = "a"
+      location = "z1"
+      serve_on = "127.0.0.1:8080"
+      peer_bind = "127.0.0.1:8081"
+      a_field_of_the_future = 3
+      [[peers]]
+      node = "b"
+      location = "z2"
+      addr = "127.0.0.1:8082"
+      [outside]
+      cloud = "127.0.0.1:1"
+      state = "127.0.0.1:2"
+      [deployment]
+      zones = ["z1", "z2"]
+      [[deployment.teams]]
+      name = "t"
+      cpus_max = 4.0
+      [deployment.workers]
+      report_s = 1.5
+      lease_s = 10.0
+      cancel_s = 30.0
+      [deployment.state]
+      rps = 100.0
+      write_rps = 20.0
+      value_kb = 4.0
+      txn_ops = 8
+      [deployment.cloud]
+      rps = 2.0
+      list_lag_s = 0.0
+      """;
+
+  @TempDir Path dir;
+
+  private Path file(String name, String text) throws Exception {
+    return Files.writeString(dir.resolve(name), text);
+  }
+
+  @Test
+  void readsAndIgnoresWhatItDoesNotKnow() throws Exception {
+    Settings s = SettingsReader.read(file("s.toml", GOOD));
+    assertEquals("a", s.node());
+    assertEquals("b", s.peers().get(0).node());
+    assertEquals(4.0, s.teams().get(0).cpusMax());
+    assertEquals(10.0, s.workers().leaseS());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "lease_s = 10.0 | lease_s = -1.0 | deployment.workers.lease_s",
+        "lease_s = 10.0 | lease_s = \"ten\" | deployment.workers.lease_s",
+        "report_s = 1.5 | x = 1 | deployment.workers.report_s: missing",
+        "cancel_s = 30.0 | cancel_s = 11.0 | deployment.workers.cancel_s",
+        "txn_ops = 8 | txn_ops = 0 | deployment.state.txn_ops",
+        "127.0.0.1:8080 | localhost | serve_on",
+        "[outside] | [elsewhere] | outside: missing",
+        "zones = [\"z1\", \"z2\"] | zones = [] | deployment.zones",
+        "node = \"b\" | node = \"a\" | peers.node",
+        "node = \"a\" | node = | line 1",
+      })
+  void namesTheFieldInOneLine(String from, String to, String expected) throws Exception {
+    Path f = file("bad.toml", GOOD.replace(from, to));
+    String message =
+        assertThrows(SettingsException.class, () -> SettingsReader.read(f)).getMessage();
+    assertTrue(message.contains(expected), message);
+    assertEquals(1, message.lines().count(), message);
+  }
+
+  @Test
+  void tunablesOverrideDefaults() throws Exception {
+    Path f =
+        file(
+            "t.xml",
+            "<snowturn>\n <gainFactor>2.5</gainFactor>\n <speculation>false</speculation>\n"
+                + " <somethingElse>1</somethingElse>\n</snowturn>");
+    Tunables t = TunablesReader.read(f);
+    assertEquals(2.5, t.gainFactor());
+    assertEquals(false, t.speculation());
+    assertEquals(Tunables.defaults().judgeAfterS(), t.judgeAfterS());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "<snowturn>\\n<gainFactor>x</gainFactor></snowturn> | line 2: gainFactor: number",
+        "<snowturn>\\n\\n<speculativeCap>2</speculativeCap></snowturn> | line 3: speculativeCap",
+        "<snowturn><speculation>maybe</speculation></snowturn> | line 1: speculation",
+        "<snowturn><gainFactor>1</snowturn> | line 1: not well-formed",
+      })
+  void tunablesNameLineAndElement(String text, String expected) throws Exception {
+    Path f = file("bad.xml", text.replace("\\n", "\n"));
+    String message =
+        assertThrows(SettingsException.class, () -> TunablesReader.read(f)).getMessage();
+    assertTrue(message.contains(expected), message);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/daemon/DaemonTest.java
@@ -0,0 +1,136 @@
+package org.snowturn.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.snowturn.config.Settings;
+import org.snowturn.config.Tunables;
+import org.snowturn.wire.Json;
+
+/** A real daemon on loopback whose state service and cloud refuse connections. */
+class DaemonTest {
+  private final HttpClient http = HttpClient.newHttpClient();
+  private Daemon daemon;
+  private InetSocketAddress at;
+  private Settings settings;
+
+  private static InetSocketAddress free() throws Exception {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress("127.0.0.1", s.getLocalPort());
+    }
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    at = free();
+    settings =
+        new Settings(
+            "n0",
+            "a",
+            at,
+            free(),
+            List.of(),
+            free(),
+            free(),
+            List.of("a"),
+            List.of(new Settings.Team("t", 0, 0, 0, 0)),
+            List.of(),
+            new Settings.Workers(2, 10, 30),
+            new Settings.StateLimits(100, 20, 4, 8),
+            new Settings.CloudLimits(2, 1),
+            100);
+    daemon = new Daemon(settings, Tunables.defaults());
+    assertEquals(Daemon.KEEPS_RUNNING, daemon.start());
+  }
+
+  @AfterEach
+  void stop() {
+    daemon.stop();
+  }
+
+  private HttpResponse<String> send(String method, String path, String body) throws Exception {
+    HttpRequest.BodyPublisher b =
+        body == null
+            ? HttpRequest.BodyPublishers.noBody()
+            : HttpRequest.BodyPublishers.ofString(body);
+    return http.send(
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.getPort() + path))
+            .method(method, b)
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
+  private static ObjectNode job() {
+    ObjectNode n = Json.object();
+    n.put("id", "wk-000001").put("jobclass", "c").put("owner", "t").put("shape", "batch");
+    n.put("rank", "high").put("flakes", 2).put("cores", 1.0).put("cards", 0.0).put("ram_gb", 1.0);
+    n.put("bundle", "i").put("size_gb", 1.0).putNull("hulls").putNull("field");
+    return n;
+  }
+
+  @Test
+  void malformedRequestsAreAnswered400() throws Exception {
+    assertEquals(400, send("POST", "/v2/runs", "{").statusCode());
+    assertEquals(400, send("POST", "/v2/runs", "[]").statusCode());
+    assertEquals(400, send("POST", "/v2/runs", "").statusCode());
+    for (String field : List.of("id", "owner", "shape", "rank", "flakes", "cores", "bundle")) {
+      ObjectNode missing = job();
+      missing.remove(field);
+      assertEquals(400, send("POST", "/v2/runs", missing.toString()).statusCode(), field);
+    }
+    for (int tasks : new int[] {0, -1, 100_001}) {
+      assertEquals(
+          400, send("POST", "/v2/runs", job().put("flakes", tasks).toString()).statusCode());
+    }
+    assertEquals(400, send("POST", "/v2/runs", job().put("id", "job-1").toString()).statusCode());
+    assertEquals(400, send("POST", "/v2/runs", job().put("cores", "2").toString()).statusCode());
+    assertEquals(400, send("POST", "/checkin", "{}").statusCode());
+  }
+
+  @Test
+  void whatCannotBeDecidedIsRefusedAtOnceWithRetryAfter() throws Exception {
+    HttpResponse<String> r = send("POST", "/v2/runs", job().toString());
+    assertEquals(503, r.statusCode());
+    assertEquals("1", r.headers().firstValue("Retry-After").orElse(""));
+    assertEquals(503, send("GET", "/v2/runs/wk-000001", null).statusCode());
+    assertEquals(503, send("POST", "/v2/runs/wk-000001/cancel", "").statusCode());
+  }
+
+  @Test
+  void httpIsSpokenAsClientsExpect() throws Exception {
+    assertEquals(200, send("GET", "/ready", null).statusCode());
+    assertEquals(404, send("GET", "/nowhere", null).statusCode());
+    assertEquals(404, send("GET", "/v2/runs/no-such-form", null).statusCode());
+    HttpResponse<String> wrong = send("DELETE", "/v2/runs/wk-000001", null);
+    assertEquals(405, wrong.statusCode());
+    assertEquals("GET", wrong.headers().firstValue("Allow").orElse(""));
+    assertEquals(405, send("GET", "/checkin", null).statusCode());
+    assertEquals(413, send("POST", "/v2/runs", "x".repeat(64 * 1024 + 1)).statusCode());
+    assertTrue(send("GET", "/metrics", null).body().contains("snowturn_calls"));
+  }
+
+  @Test
+  void aNodeThatDoesNotLeadSendsWorkersElsewhere() throws Exception {
+    String report =
+        "{\"drift\":\"i-1\",\"addr\":\"127.0.0.1:1\",\"hull\":\"h\",\"field\":\"a\","
+            + "\"thaw\":1,\"tally\":1,\"flakes\":[]}";
+    assertEquals(421, send("POST", "/checkin", report).statusCode());
+  }
+
+  @Test
+  void aPortInUseEndsTheStartWithAStatus() throws Exception {
+    assertEquals(1, new Daemon(settings, Tunables.defaults()).start());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/peer/PeerCodecTest.java
@@ -0,0 +1,51 @@
+package org.snowturn.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.snowturn.core.PeerRecord;
+
+class PeerCodecTest {
+  private static final List<PeerRecord> RECORDS =
+      List.of(
+          new PeerRecord.Status("n0", true),
+          new PeerRecord.Ask("n1", 7, 1L << 40, true),
+          new PeerRecord.Promise("n2", 7, 1L << 40, 3000, false),
+          new PeerRecord.Resign("n0", 12, 99),
+          new PeerRecord.Progress("n0", "wk-000001", 3, 4));
+
+  private static byte[] body(PeerRecord r) {
+    byte[] all = PeerCodec.encode(r);
+    return Arrays.copyOfRange(all, 2, all.length);
+  }
+
+  @Test
+  void whatIsWrittenIsRead() throws IOException {
+    for (PeerRecord r : RECORDS) {
+      assertEquals(r, PeerCodec.decode(body(r)));
+    }
+  }
+
+  @Test
+  void aLaterVersionIsUnderstoodAsFarAsKnown() throws IOException {
+    for (PeerRecord r : RECORDS) {
+      byte[] longer = Arrays.copyOf(body(r), body(r).length + 9);
+      longer[0] = 2;
+      assertEquals(r, PeerCodec.decode(longer));
+    }
+    byte[] unknownKind = body(RECORDS.get(0));
+    unknownKind[1] = 77;
+    assertNull(PeerCodec.decode(unknownKind));
+  }
+
+  @Test
+  void aCutRecordIsRefused() {
+    byte[] b = body(RECORDS.get(1));
+    assertThrows(IOException.class, () -> PeerCodec.decode(Arrays.copyOf(b, b.length - 1)));
+  }
+}
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -247,13 +247,17 @@
       }
       case "sick" -> workerOf(w, e[3]).sick = true;
       case "slow" -> workerOf(w, e[3]).slow = Double.parseDouble(e[4]);
-      case "slow-machine" ->
-          w.workers.values().stream().skip(Integer.parseInt(e[3])).findFirst().orElseThrow().slow =
-              Double.parseDouble(e[4]);
+      case "slow-machine" -> machine(w, e[3]).slow = Double.parseDouble(e[4]);
+      case "sick-machine" -> machine(w, e[3]).sick = true;
+      case "deafen" -> w.deafen(machine(w, e[3]), ms(e[4]));
       default -> throw new IllegalArgumentException("unknown event: " + e[2]);
     }
   }
 
+  private static StandInWorker machine(World w, String index) {
+    return w.workers.values().stream().skip(Integer.parseInt(index)).findFirst().orElseThrow();
+  }
+
   private static void cut(World w, String node, String from, long ms, String how) {
     World.Cut mode = how.equals("hold") ? World.Cut.HOLD : World.Cut.DROP;
     List<String> ends = new ArrayList<>();
--- a/src/test/java/org/snowturn/sim/StandInState.java
+++ b/src/test/java/org/snowturn/sim/StandInState.java
@@ -221,7 +221,27 @@
     world.after(until - world.now, again);
   }
 
+  /**
+   * The leader's records may only be written under the leader's key, tasks' also under the job's.
+   */
+  private void checkGuards(JsonNode body) {
+    List<String> guards = new ArrayList<>();
+    body.path("when").forEach(c -> guards.add(c.path("path").asText()));
+    for (JsonNode c : body.path("apply")) {
+      String key = c.has("drop") ? c.path("drop").asText() : c.path("write").asText();
+      boolean leaders = key.startsWith("t/") || key.startsWith("m/") || key.startsWith("s/");
+      boolean placement = key.startsWith("t/") && c.has("write");
+      if (leaders && !guards.contains("l/leader")) {
+        world.rules.broke("unguarded_write", key);
+      }
+      if (placement && !(guards.contains(key) && guards.contains("j/" + key.split("/")[1]))) {
+        world.rules.broke("unguarded_write", key);
+      }
+    }
+  }
+
   private void txn(JsonNode body, World.Reply back) {
+    checkGuards(body);
     List<String> failed = new ArrayList<>();
     for (JsonNode c : body.path("when")) {
       Value v = kv.get(c.path("path").asText());
--- a/src/test/java/org/snowturn/sim/World.java
+++ b/src/test/java/org/snowturn/sim/World.java
@@ -49,6 +49,7 @@
       new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
   private final Map<String, Cut> cuts = new LinkedHashMap<>();
   private final Map<String, List<Runnable>> held = new LinkedHashMap<>();
+  private final Set<String> deaf = new HashSet<>();
   private long lateCommandsMs;
 
   World(long seed, Settings[] settings, Tunables tunables) {
@@ -111,8 +112,17 @@
     return !cuts.containsKey(pair(a, b));
   }
 
+  /** For a while a worker's reports get out, but nothing that is sent to it now arrives. */
+  void deafen(StandInWorker w, long ms) {
+    deaf.add(w.addr);
+    after(ms, () -> deaf.remove(w.addr));
+  }
+
   /** Delivers a message after a delay, unless the way is cut. */
   void send(String from, String to, Runnable deliver) {
+    if (deaf.contains(to)) {
+      return;
+    }
     Cut how = cuts.get(pair(from, to));
     if (how == Cut.HOLD) {
       held.computeIfAbsent(pair(from, to), k -> new ArrayList<>()).add(deliver);
