--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -18,11 +18,16 @@
   private static final int MOST_PER_HIRE = 50;
 
   /** Waiting work that spot machines can do within this time needs no ordinary ones. */
-  private static final double DRAIN_S = 30;
+  private static final double DRAIN_S = 50;
 
   /** A machine is paid for this long in any case. */
   private static final long PAID_MS = 60_000;
 
+  private static final long MOVE_EVERY_MS = 1_500;
+
+  /** A replica that has only just started is left alone. */
+  private static final long SETTLED_MS = 40_000;
+
   private record Kind(String type, int zone, boolean spot) {}
 
   private static final class Hire {
@@ -45,6 +50,7 @@
   private final MachineBook machines;
   private final Ledger ledger;
   private final Reports reports;
+  private final Placer placer;
   private final FleetPolicy policy;
   private final long token;
 
@@ -63,6 +69,7 @@
   private long cloudTroubleUntil;
   private double peakArrayCpus;
   private long peakAt;
+  private long nextMoveAt;
 
   Fleet(
       Calls calls,
@@ -72,6 +79,7 @@
       MachineBook machines,
       Ledger ledger,
       Reports reports,
+      Placer placer,
       FleetPolicy policy,
       long token) {
     this.calls = calls;
@@ -81,6 +89,7 @@
     this.machines = machines;
     this.ledger = ledger;
     this.reports = reports;
+    this.placer = placer;
     this.policy = policy;
     this.token = token;
     this.filledAt = calls.now();
@@ -470,7 +479,7 @@
               && counts(m)
               && m.lastReportAt != Job.UNKNOWN
               && calls.now() - m.firstSeenAt > PAID_MS / 2
-              && !hasService(m)
+              && (spot || replicasCanMove(m))
               && supply(spot) - m.shape.cpus() >= target;
       if (candidate && (least == null || m.cpusUsed < least.cpusUsed)) {
         least = m;
@@ -481,13 +490,42 @@
     }
   }
 
-  private boolean hasService(Machine m) {
+  /** Whether each replica there could start at once on another machine, its image being there. */
+  private boolean replicasCanMove(Machine m) {
     for (long ref : Reports.copy(m.bound)) {
-      if (ledger.job(ref).spec.service()) {
-        return true;
+      Job j = ledger.job(ref);
+      if (j.spec.service() && !placer.couldStartElsewhere(j, m)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Moves one replica off a machine that is to be returned. */
+  private void moveReplica() {
+    if (calls.now() < nextMoveAt) {
+      return;
+    }
+    for (Machine m : machines.present()) {
+      if (!m.returning || m.deleting) {
+        continue;
+      }
+      for (long ref : Reports.copy(m.bound)) {
+        Job j = ledger.job(ref);
+        int t = Ledger.task(ref);
+        boolean settled =
+            j.state[t] == Job.RUNNING
+                && !j.stopping.get(t)
+                && j.pending == 0
+                && calls.now() - j.since[t] > SETTLED_MS;
+        if (j.spec.service() && settled && placer.couldStartElsewhere(j, m)) {
+          calls.note(j.spec.id() + "/" + t + " moves off " + m.id);
+          ledger.stop(j, t);
+          nextMoveAt = calls.now() + MOVE_EVERY_MS;
+          return;
+        }
       }
     }
-    return false;
   }
 
   private void giveBack() {
@@ -498,8 +536,10 @@
       present++;
       sick += m.sick ? 1 : 0;
     }
-    for (boolean spot : new boolean[] {false, true}) {
-      shrink(spot, target(spot));
+    if (!policy.generous()) {
+      shrink(false, target(false));
+      shrink(true, target(true));
+      moveReplica();
     }
     for (Machine m : machines.present()) {
       if (m.deleting) {
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -69,7 +69,9 @@
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
     placer = new Placer(calls, ledger, machines, policy);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer);
-    fleet = new Fleet(calls, settings, tunables, catalog, machines, ledger, reports, policy, token);
+    fleet =
+        new Fleet(
+            calls, settings, tunables, catalog, machines, ledger, reports, placer, policy, token);
     load();
   }
 
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -169,6 +169,7 @@
       take(j, t, m, p.path(1).asLong(), p.path(3).asLong());
       j.state[t] = Job.STARTING;
       j.inherited.set(t);
+      m.touchImage(j.spec.image(), j.spec.imageGb());
     }
   }
 
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -14,6 +14,9 @@
   /** Seconds of preference for machines that the cloud may take back, where a job allows them. */
   private static final double ORDINARY_PENALTY_S = 10;
 
+  /** How long a new service waits for room beside its image rather than fetch it elsewhere. */
+  private static final long IMAGE_PATIENCE_MS = 1_500;
+
   private final Calls calls;
   private final Ledger ledger;
   private final MachineBook machines;
@@ -101,6 +104,11 @@
       if (best == null) {
         return false;
       }
+      if (j.spec.service()
+          && !best.images.containsKey(j.spec.image())
+          && roomWithImage(j, usable)) {
+        return true; // the task stopped for it ends within milliseconds, a fetch takes seconds
+      }
       ledger.bind(j, t, best, j.spec.kind() == JobSpec.Kind.GANG ? attempt : ledger.newAttempt());
     }
     return true;
@@ -192,6 +200,21 @@
     return score;
   }
 
+  /** Whether a replica on {@code from} could start on another machine without a fetch. */
+  boolean couldStartElsewhere(Job j, Machine from) {
+    for (Machine m : machines.present()) {
+      boolean ready =
+          m != from
+              && m.usable(calls.now())
+              && m.hasRoom(j.spec)
+              && m.images.containsKey(j.spec.image());
+      if (ready && (m.zone == from.zone || allowed(j, m))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private int onMachine(Job j, Machine m) {
     int n = 0;
     for (int t = 0; t < j.state.length; t++) {
@@ -202,10 +225,27 @@
     return n;
   }
 
+  /** Makes room, or waits for room being made, on a machine that has a new service's image. */
+  private boolean roomWithImage(Job j, List<Machine> usable) {
+    if (calls.wall() - j.submittedWall > IMAGE_PATIENCE_MS) {
+      return false;
+    }
+    List<Machine> having = new ArrayList<>();
+    for (Machine m : usable) {
+      if (m.images.containsKey(j.spec.image()) && allowed(j, m)) {
+        if (calls.now() < m.preemptingUntil) {
+          return true;
+        }
+        having.add(m);
+      }
+    }
+    return makeRoom(j, having);
+  }
+
   /** Stops tasks of lower priority where that lets a task of this job start. */
-  private void makeRoom(Job j, List<Machine> usable) {
+  private boolean makeRoom(Job j, List<Machine> usable) {
     if (j.spec.priority() == Priority.LOW || !ledger.quota().allows(j.spec)) {
-      return;
+      return false;
     }
     long now = calls.now();
     Machine best = null;
@@ -213,7 +253,7 @@
     double bestScore = Double.MAX_VALUE;
     for (Machine m : usable) {
       if (now < m.preemptingUntil) {
-        return; // room is being made already; see what it brings first
+        return true; // room is being made already; see what it brings first
       }
       if (!allowed(j, m)) {
         continue;
@@ -230,7 +270,7 @@
       }
     }
     if (best == null) {
-      return;
+      return false;
     }
     best.preemptingUntil = now + 1500;
     for (long ref : bestVictims) {
@@ -239,6 +279,7 @@
           v.spec.id() + "/" + Ledger.task(ref) + " stopped on " + best.id + " for " + j.spec.id());
       ledger.stop(v, Ledger.task(ref));
     }
+    return true;
   }
 
   /** The tasks whose end would make room, least loss first; null if there are not enough. */
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -143,6 +143,18 @@
           // Times of tasks that an earlier leader started are unknown, so they never look slow.
           j.since[t] = j.inherited.get(t) ? Job.UNKNOWN : calls.now();
           j.state[t] = Job.RUNNING;
+          double waited = (calls.wall() - j.submittedWall) / 1000.0;
+          if (j.spec.service() && waited > 1.5 && j.failures == 0 && !j.inherited.get(t)) {
+            calls.note(
+                String.format(
+                    java.util.Locale.ROOT,
+                    "%s/%d runs %.1f s after its submission, image %s on %s",
+                    j.spec.id(),
+                    t,
+                    waited,
+                    j.spec.image(),
+                    m.id));
+          }
         }
         m.touchImage(j.spec.image(), j.spec.imageGb());
       }
