--- a/src/main/java/org/snowturn/config/Tunables.java
+++ b/src/main/java/org/snowturn/config/Tunables.java
@@ -27,6 +27,6 @@
 
   /** The values used when the operators give none. */
   public static Tunables defaults() {
-    return new Tunables(0, true, 0.10, 25, 25, 20, 3.0, 10, 3.0, 3);
+    return new Tunables(0, true, 0.10, 25, 25, 20, 3.0, 3, 3.0, 3);
   }
 }
--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -365,7 +365,8 @@
       for (String z : t.zones()) {
         int zone = machines.zone(z);
         Kind k = new Kind(t.name(), zone, spot);
-        if (!machines.zoneKnown(zone) || calls.now() < refusedUntil.getOrDefault(k, 0L)) {
+        boolean refused = calls.now() < refusedUntil.getOrDefault(k, 0L);
+        if (!machines.zoneKnown(zone) || refused || asked(k)) {
           continue;
         }
         double price = spot ? t.spotPrice() : t.price();
@@ -381,6 +382,16 @@
     return best;
   }
 
+  /** One request of a kind at a time: its answer tells whether there is more. */
+  private boolean asked(Kind k) {
+    for (Hire h : inFlight) {
+      if (h.kind.equals(k)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private double zoneSupply(Kind k) {
     double cpus = 0;
     for (Machine m : machines.present()) {
@@ -472,6 +483,9 @@
 
   /** Empties the least used machine that is not needed: arrays end soon, so it can be returned. */
   private void shrink(boolean spot, double target) {
+    if (arraysWait()) {
+      return; // what is paid for already may as well work
+    }
     Machine least = null;
     for (Machine m : machines.present()) {
       boolean candidate =
@@ -490,6 +504,15 @@
     }
   }
 
+  private boolean arraysWait() {
+    for (Job j : ledger.jobs()) {
+      if (!j.cancelled && j.pending > 0 && !j.spec.service()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether each replica there could start at once on another machine, its image being there. */
   private boolean replicasCanMove(Machine m) {
     for (long ref : Reports.copy(m.bound)) {
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -392,7 +392,7 @@
   }
 
   private long silentMs() {
-    return (long) (1000 * (settings.workers().reportS() * 1.25 + 1.2));
+    return (long) (1000 * (settings.workers().reportS() * 1.25 + 0.8));
   }
 
   private void sweep() {
--- a/src/main/java/org/snowturn/core/Outbox.java
+++ b/src/main/java/org/snowturn/core/Outbox.java
@@ -16,6 +16,9 @@
 final class Outbox {
   private static final int TIMEOUT_MS = 2000;
 
+  /** A machine that only has to say that it is there answers sooner. */
+  private static final int ASK_TIMEOUT_MS = 1000;
+
   /** What the outbox needs of the leader. */
   interface Host {
     boolean hasAuthority();
@@ -83,7 +86,7 @@
         "POST",
         "/commands",
         Command.direct(host.token(), machine.session, commands),
-        TIMEOUT_MS,
+        commands.isEmpty() ? ASK_TIMEOUT_MS : TIMEOUT_MS,
         (outcome, status, body) -> answered(doubts, outcome, status, body));
   }
 
