--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -25,9 +25,6 @@
 
   private static final long MOVE_EVERY_MS = 1_500;
 
-  /** A replica that has only just started is left alone. */
-  private static final long SETTLED_MS = 40_000;
-
   private record Kind(String type, int zone, boolean spot) {}
 
   private static final class Hire {
@@ -154,9 +151,13 @@
     listedOnce = true;
     for (CloudMachine c : list) {
       Machine m = machines.getOrCreate(c.id());
-      if (m.gone) {
+      if (m.deleted) {
         continue; // the list lags
       }
+      if (m.gone) {
+        calls.note(m.id + " is listed again");
+        m.comeBack();
+      }
       if (m.firstSeenAt == 0) {
         m.firstSeenAt = now - (long) (c.ageS() * 1000);
       }
@@ -237,6 +238,7 @@
           for (Machine m : batch) {
             if (outcome == Outcome.ANSWERED && status == 200) {
               m.gone = true;
+              m.deleted = true;
               reports.releaseAll(m);
             } else {
               m.deleteRetryAt = calls.now() + 1000;
@@ -536,12 +538,7 @@
       for (long ref : Reports.copy(m.bound)) {
         Job j = ledger.job(ref);
         int t = Ledger.task(ref);
-        boolean settled =
-            j.state[t] == Job.RUNNING
-                && !j.stopping.get(t)
-                && j.pending == 0
-                && calls.now() - j.since[t] > SETTLED_MS;
-        if (j.spec.service() && settled && placer.couldStartElsewhere(j, m)) {
+        if (j.settled(t, calls.now()) && placer.couldStartElsewhere(j, m)) {
           calls.note(j.spec.id() + "/" + t + " moves off " + m.id);
           ledger.stop(j, t);
           nextMoveAt = calls.now() + MOVE_EVERY_MS;
--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -32,6 +32,9 @@
   /** No such time; far in the past, but safe to subtract from. */
   static final long UNKNOWN = Long.MIN_VALUE / 4;
 
+  /** A replica that has only just started is left alone. */
+  private static final long SETTLED_MS = 40_000;
+
   final int index;
   final JobSpec spec;
   final long submittedWall;
@@ -107,6 +110,17 @@
     return state[task] >= PLACING && state[task] <= RUNNING;
   }
 
+  /**
+   * Whether the task is a replica that may be moved: not just started, and no other of it waits.
+   */
+  boolean settled(int task, long now) {
+    return spec.service()
+        && state[task] == RUNNING
+        && !stopping.get(task)
+        && pending == 0
+        && now - since[task] > SETTLED_MS;
+  }
+
   /** A pending task, or -1. */
   int nextPending() {
     if (pending == 0) {
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -315,6 +315,9 @@
       return;
     }
     Machine m = machines.getOrCreate(r.machine());
+    if (m.gone && !m.deleted && r.session() > m.session) {
+      m.comeBack();
+    }
     if (m.gone || r.session() <= m.deadSession) {
       // Deleted, or a session that has certainly ended: nothing may renew it.
       calls.refuse(exchange, 503, 0);
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -358,12 +358,12 @@
     String due = late < -1e9 ? "no deadline" : String.format(Locale.ROOT, "%.1f s late", late);
     return String.format(
         Locale.ROOT,
-        ": %d tasks, estimate %.1f s, median %.1f s, placed whole after %.1f s, done after %.1f s,"
+        ": %d tasks, estimate %.1f s, median %.1f s, last placed after %.1f s, done after %.1f s,"
             + " %s, %d restarts",
         j.state.length,
         j.spec.estimateS(),
         j.median(),
-        (j.placedWall - j.submittedWall) / 1000.0,
+        Math.max(0, j.placedWall - j.submittedWall) / 1000.0,
         (calls.wall() - j.submittedWall) / 1000.0,
         due,
         j.restarts);
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -34,6 +34,10 @@
   boolean recorded;
   boolean recording;
   boolean gone;
+
+  /** Gone for good: the cloud confirmed it. */
+  boolean deleted;
+
   boolean deleting;
   long deleteRetryAt;
   boolean probing;
@@ -109,6 +113,15 @@
     }
   }
 
+  /** Taken for gone because it was neither heard of nor listed, and yet there: starts anew. */
+  void comeBack() {
+    gone = false;
+    acknowledged = false;
+    recorded = false;
+    recording = false;
+    deadSession = Math.max(deadSession, session);
+  }
+
   /** Whether new work may go there. */
   boolean usable(long now) {
     return !gone
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -239,7 +239,39 @@
         having.add(m);
       }
     }
-    return makeRoom(j, having);
+    return makeRoom(j, having) || swap(j, having);
+  }
+
+  /** Moves a settled replica that can start elsewhere at once, to make room beside an image. */
+  private boolean swap(Job j, List<Machine> having) {
+    for (Machine m : having) {
+      for (long ref : Reports.copy(m.bound)) {
+        Job v = ledger.job(ref);
+        int t = Ledger.task(ref);
+        boolean movable =
+            v != j
+                && v.settled(t, calls.now())
+                && v.spec.cpus() >= j.spec.cpus()
+                && v.spec.gpus() >= j.spec.gpus()
+                && v.spec.memoryGb() >= j.spec.memoryGb();
+        if (movable && couldStartElsewhere(v, m)) {
+          calls.note(
+              v.spec.id()
+                  + "/"
+                  + t
+                  + " moves off "
+                  + m.id
+                  + ", image of "
+                  + j.spec.id()
+                  + " there");
+          m.preemptingUntil = calls.now() + 1500;
+          v.avoid.put(t, m.index);
+          ledger.stop(v, t);
+          return true;
+        }
+      }
+    }
+    return false;
   }
 
   /** Stops tasks of lower priority where that lets a task of this job start. */
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -72,7 +72,9 @@
                     .set(Options.TCP_NODELAY, true)
                     .getMap());
     io = worker.getIoThread();
-    ByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024, 64, 4);
+    // On the heap: a connection that is closed within its own callback frees its buffers while the
+    // client still reads into them, which with direct memory ended the process.
+    ByteBufferPool buffers = new DefaultByteBufferPool(false, 16 * 1024, 64, 4);
     state =
         new StateClient(
             new HttpCaller(settings.state(), io, buffers, STATE_CONNECTIONS),
