A new session has its own lease: its tasks are not taken for lapsed with the old one

A machine whose check-ins were cut off but which answered direct commands had gone on to a new session; its lapse was still counted from the last answer, so tasks started in the new session were released at once. Ruled out: the return of machines taken for gone (the machine had never been gone).

--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -23,6 +23,9 @@
   /** A machine is paid for this long in any case. */
   private static final long PAID_MS = 60_000;
 
+  /** Room kept for new replicas, in the largest one's size, beside the share of what runs. */
+  private static final int SPARE_REPLICAS = 4;
+
   private static final long MOVE_EVERY_MS = 1_500;
 
   private record Kind(String type, int zone, boolean spot) {}
@@ -290,13 +293,23 @@
     return cpus;
   }
 
+  private double largestReplica() {
+    double cpus = 0;
+    for (Job j : ledger.jobs()) {
+      cpus = j.spec.service() ? Math.max(cpus, j.spec.cpus()) : cpus;
+    }
+    return cpus;
+  }
+
   private double target(boolean spot) {
     if (policy.generous()) {
       return Double.MAX_VALUE;
     }
     double need = need(spot);
     if (!spot) {
-      return need * (1 + policy.serviceHeadroom()) + 8 + overflow();
+      double spare =
+          need > 0 ? need * policy.serviceHeadroom() + SPARE_REPLICAS * largestReplica() : 0;
+      return need + spare + overflow();
     }
     // A burst's machines stay a little: the next array finds them up and with their images.
     long now = calls.now();
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -60,6 +60,10 @@
     }
     if (r.session() > m.session) {
       m.session = r.session();
+      // A new session has its full lease from its beginning, though no report of it was answered
+      // yet:
+      // counted from the last answer it would be taken for lapsed while its tasks run.
+      m.lastAnswerAt = Math.max(m.lastAnswerAt, calls.now());
       m.acknowledged = false;
       m.startsInDoubt.clear();
       m.outbox.drop();
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -249,6 +249,11 @@
       case "slow" -> workerOf(w, e[3]).slow = Double.parseDouble(e[4]);
       case "slow-machine" -> machine(w, e[3]).slow = Double.parseDouble(e[4]);
       case "sick-machine" -> machine(w, e[3]).sick = true;
+      case "mute" -> {
+        StandInWorker x = machine(w, e[3]);
+        x.mute = true;
+        w.after(ms(e[4]), () -> x.mute = false);
+      }
       case "deafen" -> w.deafen(machine(w, e[3]), ms(e[4]));
       default -> throw new IllegalArgumentException("unknown event: " + e[2]);
     }
--- a/src/test/java/org/snowturn/sim/StandInWorker.java
+++ b/src/test/java/org/snowturn/sim/StandInWorker.java
@@ -40,6 +40,7 @@
   boolean dead;
   boolean hung;
   boolean sick;
+  boolean mute;
   double slow = 1;
   double noticeS = Double.NaN;
   private long session = 1;
@@ -106,7 +107,7 @@
     if (dead) {
       return;
     }
-    if (hung) {
+    if (hung || mute) {
       world.after(200, this::report);
       return;
     }
