--- a/src/main/java/org/snowturn/cloud/CloudClient.java
+++ b/src/main/java/org/snowturn/cloud/CloudClient.java
@@ -4,8 +4,6 @@
 import org.snowturn.core.Effect;
 import org.snowturn.core.Input;
 import org.snowturn.net.HttpCaller;
-import org.snowturn.net.Replies;
-import org.snowturn.wire.Json;
 
 /** The client of the cloud; the core spends the request rate where it matters most. */
 public final class CloudClient {
@@ -18,11 +16,6 @@
 
   /** Makes the call and hands in its reply. */
   public void call(Effect.Call c, Consumer<Input> reply) {
-    caller.call(
-        c.method(),
-        c.path(),
-        c.body() == null ? null : Json.bytes(c.body()),
-        c.timeoutMs(),
-        (outcome, status, bytes) -> reply.accept(Replies.of(c, outcome, status, bytes)));
+    caller.call(c, reply);
   }
 }
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -83,7 +83,7 @@
   Job record(String id, StoredJob stored, long stamp) {
     Job j = jobs.get(id);
     if (j == null) {
-      // 64 bytes hold one placement in a chunk's record, whatever the machine's name.
+      // 80 bytes hold one placement in a chunk's record, whatever the machine's name.
       int chunk = Math.max(8, (int) (settings.stateLimits().valueKb() * 1024 / 80));
       int zones = Math.max(machines.zoneCount(), 1);
       j = new Job(byIndex.size(), stored.spec(), stored.submittedWall(), chunk, zones);
--- a/src/main/java/org/snowturn/net/HttpCaller.java
+++ b/src/main/java/org/snowturn/net/HttpCaller.java
@@ -14,7 +14,11 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Input;
 import org.snowturn.core.Outcome;
+import org.snowturn.wire.Json;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
@@ -70,6 +74,16 @@
     return open == 0 && queue.isEmpty();
   }
 
+  /** Makes one of the core's calls and hands in its reply. */
+  public void call(Effect.Call c, Consumer<Input> reply) {
+    call(
+        c.method(),
+        c.path(),
+        c.body() == null ? null : Json.bytes(c.body()),
+        c.timeoutMs(),
+        (outcome, status, bytes) -> reply.accept(Replies.of(c, outcome, status, bytes)));
+  }
+
   /** Sends a request; {@code then} is called exactly once. */
   public void call(String method, String path, byte[] body, int timeoutMs, Then then) {
     Exchange x = new Exchange(method, path, body, then);
--- a/src/main/java/org/snowturn/state/StateClient.java
+++ b/src/main/java/org/snowturn/state/StateClient.java
@@ -6,8 +6,6 @@
 import org.snowturn.core.Input;
 import org.snowturn.core.Outcome;
 import org.snowturn.net.HttpCaller;
-import org.snowturn.net.Replies;
-import org.snowturn.wire.Json;
 
 /**
  * The client of the state service. It keeps this node's share of the request rate; what exceeds it
@@ -39,13 +37,7 @@
       return;
     }
     HttpCaller via = c.target() == Effect.Target.STATE_WATCH ? watches : caller;
-    byte[] body = c.body() == null ? null : Json.bytes(c.body());
-    via.call(
-        c.method(),
-        c.path(),
-        body,
-        c.timeoutMs(),
-        (outcome, status, bytes) -> reply.accept(Replies.of(c, outcome, status, bytes)));
+    via.call(c, reply);
   }
 
   private boolean spend() {
--- a/src/main/java/org/snowturn/worker/WorkerClient.java
+++ b/src/main/java/org/snowturn/worker/WorkerClient.java
@@ -9,8 +9,6 @@
 import org.snowturn.core.Input;
 import org.snowturn.core.Outcome;
 import org.snowturn.net.HttpCaller;
-import org.snowturn.net.Replies;
-import org.snowturn.wire.Json;
 import org.xnio.XnioIoThread;
 
 /** Direct commands to workers, one persistent connection each. */
@@ -36,12 +34,7 @@
     if (callers.size() > MOST_IDLE) {
       callers.values().removeIf(HttpCaller::unused);
     }
-    caller.call(
-        c.method(),
-        c.path(),
-        c.body() == null ? null : Json.bytes(c.body()),
-        c.timeoutMs(),
-        (outcome, status, bytes) -> reply.accept(Replies.of(c, outcome, status, bytes)));
+    caller.call(c, reply);
   }
 
   /** Null for an address that is none: workers name their own, and it must be an IP address. */
