--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -64,6 +64,10 @@
   int restarts;
   long backOffUntil;
   int failures;
+
+  /** The zone chosen for the whole of a gang, or -1. */
+  int gangZone = -1;
+
   private int cursor;
 
   Job(int index, JobSpec spec, long submittedWall, int chunkSize, int zones) {
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -80,6 +80,18 @@
         && memoryUsed + s.memoryGb() <= shape.memoryGb() + 1e-6;
   }
 
+  /** How many tasks of the job fit beside what is there. */
+  int roomFor(JobSpec s) {
+    if (shape == null) {
+      return 0;
+    }
+    double n = 1000;
+    n = s.cpus() > 0 ? Math.min(n, (shape.cpus() - cpusUsed + 1e-6) / s.cpus()) : n;
+    n = s.gpus() > 0 ? Math.min(n, (shape.gpus() - gpusUsed + 1e-6) / s.gpus()) : n;
+    n = s.memoryGb() > 0 ? Math.min(n, (shape.memoryGb() - memoryUsed + 1e-6) / s.memoryGb()) : n;
+    return (int) Math.max(0, Math.floor(n));
+  }
+
   double cpusFree() {
     return shape == null ? 0 : shape.cpus() - cpusUsed;
   }
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -63,6 +63,9 @@
   }
 
   private boolean placeJob(Job j, List<Machine> usable) {
+    if (j.spec.kind() == JobSpec.Kind.GANG && !gangFits(j, usable)) {
+      return false;
+    }
     while (j.pending > 0) {
       int t = j.nextPending();
       if (!ledger.quota().allows(j.spec)) {
@@ -87,6 +90,33 @@
     return true;
   }
 
+  /** A gang is placed whole or not at all: its tasks do nothing until all of them are there. */
+  private boolean gangFits(Job j, List<Machine> usable) {
+    j.gangZone = -1;
+    if (j.bound > 0) {
+      return true; // the missing ones join those that still wait
+    }
+    int[] room = new int[machines.zoneCount()];
+    int all = 0;
+    for (Machine m : usable) {
+      if (allowed(j, m)) {
+        int n = m.roomFor(j.spec);
+        room[m.zone] += n;
+        all += n;
+      }
+    }
+    if (!j.spec.oneZone()) {
+      return all >= j.pending;
+    }
+    for (int zone = 0; zone < room.length; zone++) {
+      if (room[zone] >= j.pending) {
+        j.gangZone = zone;
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether the job's constraints allow one more task of it on the machine, room aside. */
   boolean allowed(Job j, Machine m) {
     JobSpec s = j.spec;
@@ -102,6 +132,9 @@
     if (s.spread() && j.boundInZone[m.zone] >= s.perZoneLimit()) {
       return false;
     }
+    if (s.oneZone() && j.bound == 0 && j.gangZone >= 0 && j.gangZone != m.zone) {
+      return false;
+    }
     return !s.oneZone() || j.bound == j.boundInZone[m.zone];
   }
 
--- a/src/main/java/org/snowturn/core/Speculator.java
+++ b/src/main/java/org/snowturn/core/Speculator.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.snowturn.config.Tunables;
+import org.snowturn.wire.JobSpec;
 
 /**
  * The restart of slow tasks, as DESIGN-snowturn.md has it: when room frees and no waiting task
@@ -99,7 +100,7 @@
     double bar = workBar();
     Candidate best = null;
     for (Job j : ledger.jobs()) {
-      if (!j.spec.service() && !j.cancelled && !j.runTimes.isEmpty() && j.bound > 0) {
+      if (j.spec.kind() == JobSpec.Kind.ARRAY && !j.cancelled && !j.runTimes.isEmpty() && j.bound > 0) {
         best = slowest(j, bar, best);
       }
     }
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -112,7 +112,7 @@
     if (spec.zone() != null && !settings.zones().contains(spec.zone())) {
       return "unknown zone";
     }
-    int together = spec.service() ? spec.tasks() : 1;
+    int together = spec.together();
     if (Quota.exceeds(spec.cpus() * together, team.cpusMax())
         || Quota.exceeds(spec.gpus() * together, team.gpusMax())) {
       return "more than the team's limit";
--- a/src/main/java/org/snowturn/wire/JobSpec.java
+++ b/src/main/java/org/snowturn/wire/JobSpec.java
@@ -18,7 +18,7 @@
     String id,
     String jobClass,
     String team,
-    boolean service,
+    Kind kind,
     Priority priority,
     int tasks,
     double cpus,
@@ -36,6 +36,31 @@
     double saveS,
     double deadlineS) {
 
+  /** How the tasks of a job hang together. */
+  public enum Kind {
+    /** Independent tasks, each runs to completion. */
+    ARRAY("batch"),
+    /** Tasks that only run all at once. */
+    GANG("ensemble"),
+    /** Replicas that run until the job is cancelled. */
+    SERVICE("service");
+
+    private final String wire;
+
+    Kind(String wire) {
+      this.wire = wire;
+    }
+
+    static Kind parse(String text) throws MalformedException {
+      for (Kind k : values()) {
+        if (k.wire.equals(text)) {
+          return k;
+        }
+      }
+      throw new MalformedException("shape: unknown kind of job");
+    }
+  }
+
   private static final Pattern ID = Pattern.compile("wk-[0-9]{1,18}");
   private static final int MAX_TASKS = 100_000;
 
@@ -51,10 +76,6 @@
     if (!isId(id)) {
       throw new MalformedException("id: not a job id");
     }
-    String shape = f.text("shape");
-    if (!shape.equals("batch") && !shape.equals("service")) {
-      throw new MalformedException("shape: batch or service expected");
-    }
     List<String> types = null;
     if (f.has("hulls")) {
       if (!f.node("hulls").isArray()) {
@@ -76,7 +97,7 @@
         id,
         f.text("jobclass"),
         f.text("owner"),
-        shape.equals("service"),
+        Kind.parse(f.text("shape")),
         Priority.parse(f.text("rank")),
         (int) f.integer("flakes", 1, MAX_TASKS),
         cpus,
@@ -99,7 +120,7 @@
   public ObjectNode toJson() {
     ObjectNode o = Json.object();
     o.put("id", id).put("jobclass", jobClass).put("owner", team);
-    o.put("shape", service ? "service" : "batch").put("rank", priority.wire());
+    o.put("shape", kind.wire).put("rank", priority.wire());
     o.put("flakes", tasks).put("cores", cpus).put("cards", gpus).put("ram_gb", memoryGb);
     o.put("bundle", image).put("size_gb", imageGb);
     if (types != null) {
@@ -117,6 +138,16 @@
     return o;
   }
 
+  /** Whether the tasks are replicas that run until the job is cancelled. */
+  public boolean service() {
+    return kind == Kind.SERVICE;
+  }
+
+  /** How many of the tasks must be there for any to run; also what a team's limit must hold. */
+  public int together() {
+    return kind == Kind.ARRAY ? 1 : tasks;
+  }
+
   /** How many of the tasks may be in one zone. */
   public int perZoneLimit() {
     return spread ? (tasks + 1) / 2 : tasks;
