Connections to workers are bounded: dropped callers leaked sockets

Cause: beyond 256 workers the table of callers was swept of the unused ones right after a new caller was made, so that caller was dropped before it connected; each further command to that machine opened one more connection that nobody closed. Ruled out: writes of machine records (urgency first, done in time), the list's page of 500, capacity.

Change: at most a quarter of the node's sockets go out to workers; the longest unused idle connection is closed first.

--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -42,6 +42,9 @@
   private static final int WATCHES = 4;
   private static final int CLOUD_CONNECTIONS = 4;
 
+  /** One in so many of the node's sockets may go out to workers. */
+  private static final int WORKERS_SHARE = 4;
+
   private final Settings settings;
   private final Controller controller;
   private final Metrics metrics = new Metrics();
@@ -81,7 +84,8 @@
             new HttpCaller(settings.state(), io, buffers, WATCHES),
             settings.stateLimits());
     cloud = new CloudClient(new HttpCaller(settings.cloud(), io, buffers, CLOUD_CONNECTIONS));
-    workers = new WorkerClient(io, buffers);
+    workers =
+        new WorkerClient(io, buffers, Math.max(64, settings.maxConnections() / WORKERS_SHARE));
     peers = new PeerLinks(io, this::accept);
     front =
         new Front(
--- a/src/main/java/org/snowturn/net/HttpCaller.java
+++ b/src/main/java/org/snowturn/net/HttpCaller.java
@@ -13,6 +13,7 @@
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.snowturn.core.Effect;
@@ -64,14 +65,14 @@
     this.maxConnections = maxConnections;
   }
 
-  /** The server's address. */
-  public InetSocketAddress addr() {
-    return addr;
-  }
-
-  /** Whether nothing is going on, so that the caller could be dropped. */
-  public boolean unused() {
-    return open == 0 && queue.isEmpty();
+  /** Closes the connections if no call is going on; tells whether none was. */
+  public boolean closeIfIdle() {
+    if (open > idle.size() || !queue.isEmpty()) {
+      return false;
+    }
+    List.copyOf(idle).forEach(i -> IoUtils.safeClose(i.connection));
+    idle.clear();
+    return true;
   }
 
   /** Makes one of the core's calls and hands in its reply. */
--- a/src/main/java/org/snowturn/worker/WorkerClient.java
+++ b/src/main/java/org/snowturn/worker/WorkerClient.java
@@ -2,8 +2,8 @@
 
 import io.undertow.connector.ByteBufferPool;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.function.Consumer;
 import org.snowturn.core.Effect;
 import org.snowturn.core.Input;
@@ -11,28 +11,40 @@
 import org.snowturn.net.HttpCaller;
 import org.xnio.XnioIoThread;
 
-/** Direct commands to workers, one persistent connection each. */
+/**
+ * Direct commands to workers, one persistent connection each, and no more connections than this
+ * node can spare beside those that the workers and users open: the longest unused is closed first.
+ */
 public final class WorkerClient {
-  private static final int MOST_IDLE = 256;
   private final XnioIoThread io;
   private final ByteBufferPool buffers;
-  private final Map<String, HttpCaller> callers = new HashMap<>();
+  private final int mostOpen;
+  private final LinkedHashMap<String, HttpCaller> callers = new LinkedHashMap<>(64, 0.75f, true);
 
-  /** Runs on the given thread. */
-  public WorkerClient(XnioIoThread io, ByteBufferPool buffers) {
+  /** Runs on the given thread, with about {@code mostOpen} connections at the most. */
+  public WorkerClient(XnioIoThread io, ByteBufferPool buffers, int mostOpen) {
     this.io = io;
     this.buffers = buffers;
+    this.mostOpen = mostOpen;
   }
 
   /** Makes the call and hands in its reply. */
   public void call(Effect.Call c, Consumer<Input> reply) {
-    HttpCaller caller = callers.computeIfAbsent(c.addr(), this::connectTo);
+    HttpCaller caller = callers.get(c.addr());
     if (caller == null) {
-      reply.accept(new Input.Reply(c.id(), Outcome.REFUSED, 0, null));
-      return;
-    }
-    if (callers.size() > MOST_IDLE) {
-      callers.values().removeIf(HttpCaller::unused);
+      caller = connectTo(c.addr());
+      if (caller == null) {
+        reply.accept(new Input.Reply(c.id(), Outcome.REFUSED, 0, null));
+        return;
+      }
+      // A caller that is let go must hold no connection, or nobody would ever close it.
+      Iterator<HttpCaller> longestUnused = callers.values().iterator();
+      while (callers.size() >= mostOpen && longestUnused.hasNext()) {
+        if (longestUnused.next().closeIfIdle()) {
+          longestUnused.remove();
+        }
+      }
+      callers.put(c.addr(), caller);
     }
     caller.call(c, reply);
   }
--- /dev/null
+++ b/src/test/java/org/snowturn/worker/WorkerClientTest.java
@@ -0,0 +1,85 @@
+package org.snowturn.worker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.ConnectorStatistics;
+import io.undertow.server.DefaultByteBufferPool;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Input;
+import org.snowturn.core.Outcome;
+import org.snowturn.wire.Json;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Connections to more workers than there are sockets for. */
+class WorkerClientTest {
+  private static final int MOST = 4;
+  private static final int WORKERS = 20;
+  private Undertow server;
+  private XnioWorker worker;
+
+  @BeforeEach
+  void start() throws Exception {
+    server =
+        Undertow.builder()
+            .setIoThreads(1) // so that a close is seen before a later request is answered
+            .addHttpListener(0, "0.0.0.0")
+            .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
+            .setHandler(x -> x.setStatusCode(200).endExchange())
+            .build();
+    server.start();
+    worker =
+        Xnio.getInstance()
+            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+  }
+
+  @AfterEach
+  void stop() {
+    server.stop();
+    worker.shutdownNow();
+  }
+
+  @Test
+  void noMoreConnectionsStayOpenThanTheNodeCanSpare() throws Exception {
+    WorkerClient client =
+        new WorkerClient(
+            worker.getIoThread(), new DefaultByteBufferPool(false, 16 * 1024, 8, 0), MOST);
+    int port = ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    BlockingQueue<Input> replies = new LinkedBlockingQueue<>();
+    for (int i = 0; i < 2 * WORKERS; i++) {
+      // Each loopback address stands for a worker.
+      String addr = "127.0.0." + (1 + i % WORKERS) + ":" + port;
+      Effect.Call c =
+          new Effect.Call(
+              i, Effect.Target.WORKER, addr, "POST", "/commands", Json.object(), 30_000);
+      worker.getIoThread().execute(() -> client.call(c, replies::add));
+      Input.Reply r = (Input.Reply) replies.poll(30, TimeUnit.SECONDS);
+      assertEquals(Outcome.ANSWERED, r.outcome());
+    }
+    ConnectorStatistics seen = server.getListenerInfo().get(0).getConnectorStatistics();
+    assertTrue(
+        seen.getMaxActiveConnections() < 2 * MOST, "open: " + seen.getMaxActiveConnections());
+  }
+
+  @Test
+  void anAddressThatIsNoneIsRefused() {
+    WorkerClient client = new WorkerClient(null, null, MOST);
+    BlockingQueue<Input> replies = new LinkedBlockingQueue<>();
+    client.call(
+        new Effect.Call(1, Effect.Target.WORKER, "no-address", "POST", "/", null, 10),
+        replies::add);
+    assertEquals(Outcome.REFUSED, ((Input.Reply) replies.poll()).outcome());
+  }
+}
