--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,8 +29,13 @@
 
   private static final long MOVE_EVERY_MS = 1_500;
 
+  /** Surplus machines looked at in one go, the least used first. */
+  private static final int MOST_TRIED = 8;
+
   private record Kind(String type, int zone, boolean spot) {}
 
+  private record Place(int zone, boolean spot) {}
+
   private static final class Hire {
     final String name;
     final Kind kind;
@@ -58,6 +64,8 @@
   private final Map<Kind, Integer> refusals = new HashMap<>();
   private final List<Hire> inFlight = new ArrayList<>();
   private final List<Hire> repeats = new ArrayList<>();
+  private final double[] held = new double[2];
+  private final Map<Place, Double> heldInZone = new HashMap<>();
   private double budget;
   private long filledAt;
   private long nextListAt;
@@ -108,6 +116,7 @@
       list(null);
     }
     if (catalog.known() && listedOnce && now >= cloudTroubleUntil) {
+      count();
       hire();
       giveBack();
     }
@@ -159,7 +168,7 @@
       }
       if (m.gone) {
         calls.note(m.id + " is listed again");
-        m.comeBack();
+        machines.revive(m);
       }
       if (m.firstSeenAt == 0) {
         m.firstSeenAt = now - (long) (c.ageS() * 1000);
@@ -197,7 +206,7 @@
           m.lastReportAt == Job.UNKNOWN || now - m.lastReportAt > Reports.lapseMs(settings);
       long known = Math.max(m.listedAt, m.firstSeenAt);
       if (!m.deleting && silent && m.bound.isEmpty() && now - known > stale) {
-        m.gone = true;
+        machines.retire(m);
       }
     }
   }
@@ -240,7 +249,7 @@
           deletesInFlight--;
           for (Machine m : batch) {
             if (outcome == Outcome.ANSWERED && status == 200) {
-              m.gone = true;
+              machines.retire(m);
               m.deleted = true;
               reports.releaseAll(m);
             } else {
@@ -250,14 +259,26 @@
         });
   }
 
-  /** What machines of a kind hold, up or on their way. */
-  private double supply(boolean spot) {
-    double cpus = 0;
+  /** Counts what the machines hold, once a tick. */
+  private void count() {
+    held[0] = 0;
+    held[1] = 0;
+    heldInZone.clear();
     for (Machine m : machines.present()) {
-      if (m.spot == spot && counts(m)) {
-        cpus += m.shape.cpus();
+      if (counts(m)) {
+        hold(m, 1);
       }
     }
+  }
+
+  private void hold(Machine m, int sign) {
+    held[m.spot ? 1 : 0] += sign * m.shape.cpus();
+    heldInZone.merge(new Place(m.zone, m.spot), sign * m.shape.cpus(), Double::sum);
+  }
+
+  /** What machines of a kind hold, up or on their way. */
+  private double supply(boolean spot) {
+    double cpus = held[spot ? 1 : 0];
     for (Hire h : inFlight) {
       if (h.kind.spot == spot && catalog.get(h.kind.type) != null) {
         cpus += h.count * catalog.get(h.kind.type).cpus();
@@ -408,13 +429,7 @@
   }
 
   private double zoneSupply(Kind k) {
-    double cpus = 0;
-    for (Machine m : machines.present()) {
-      if (m.spot == k.spot && m.zone == k.zone && counts(m)) {
-        cpus += m.shape.cpus();
-      }
-    }
-    return cpus;
+    return heldInZone.getOrDefault(new Place(k.zone, k.spot), 0.0);
   }
 
   private void send(Hire h) {
@@ -491,6 +506,7 @@
     for (Machine m : machines.present()) {
       if (m.returning && !m.deleting && m.spot == spot && supply(spot) < target) {
         m.returning = false;
+        hold(m, 1);
         ledger.somethingChanged();
       }
     }
@@ -501,21 +517,23 @@
     if (arraysWait()) {
       return; // what is paid for already may as well work
     }
-    Machine least = null;
+    List<Machine> candidates = new ArrayList<>();
     for (Machine m : machines.present()) {
-      boolean candidate =
-          m.spot == spot
-              && counts(m)
-              && m.lastReportAt != Job.UNKNOWN
-              && calls.now() - m.firstSeenAt > PAID_MS / 2
-              && (spot || replicasCanMove(m))
-              && supply(spot) - m.shape.cpus() >= target;
-      if (candidate && (least == null || m.cpusUsed < least.cpusUsed)) {
-        least = m;
+      if (m.spot == spot
+          && counts(m)
+          && m.lastReportAt != Job.UNKNOWN
+          && calls.now() - m.firstSeenAt > PAID_MS / 2
+          && supply(spot) - m.shape.cpus() >= target) {
+        candidates.add(m);
       }
     }
-    if (least != null) {
-      least.returning = true;
+    candidates.sort(Comparator.comparingDouble(m -> m.cpusUsed));
+    for (Machine m : candidates.subList(0, Math.min(MOST_TRIED, candidates.size()))) {
+      if (spot || replicasCanMove(m)) {
+        m.returning = true;
+        hold(m, -1);
+        return;
+      }
     }
   }
 
--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -63,11 +63,16 @@
   final Writer.Slot[] chunks;
   final Samples runTimes = new Samples();
   final int[] boundInZone;
+
+  /** How many tasks of a service may be on each machine. */
+  private final Int2IntHashMap onMachine = new Int2IntHashMap(0);
+
   long stamp;
   boolean cancelled;
   boolean finishing;
   int pending;
   int bound;
+  int running;
   int done;
   int restarts;
   long backOffUntil;
@@ -106,6 +111,29 @@
     return task / chunkSize;
   }
 
+  /** Changes a task's state, and the count of running tasks with it. */
+  void enter(int task, byte next) {
+    running += (next == RUNNING ? 1 : 0) - (state[task] == RUNNING ? 1 : 0);
+    state[task] = next;
+  }
+
+  /** Keeps account of a service's tasks by machine. */
+  void countOn(int machineIndex, int sign) {
+    if (spec.service()) {
+      int n = onMachine.get(machineIndex) + sign;
+      if (n == 0) {
+        onMachine.remove(machineIndex);
+      } else {
+        onMachine.put(machineIndex, n);
+      }
+    }
+  }
+
+  /** How many of a service's tasks may be on the machine. */
+  int on(Machine m) {
+    return onMachine.get(m.index);
+  }
+
   boolean isBound(int task) {
     return state[task] >= PLACING && state[task] <= RUNNING;
   }
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -1,10 +1,12 @@
 package org.snowturn.core;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.wire.Command;
@@ -36,6 +38,7 @@
   private final Fleet fleet;
   private final Map<String, Writer.Slot> machineSlots = new HashMap<>();
   private final Map<String, PeerRecord.Progress> told = new HashMap<>();
+  private final ArrayDeque<Outbox> toSend = new ArrayDeque<>();
   private List<StateMessage.Entry> loadedJobs = List.of();
   private boolean loaded;
   private boolean watching;
@@ -316,7 +319,7 @@
     }
     Machine m = machines.getOrCreate(r.machine());
     if (m.gone && !m.deleted && r.session() > m.session) {
-      m.comeBack();
+      machines.revive(m);
     }
     if (m.gone || r.session() <= m.deadSession) {
       // Deleted, or a session that has certainly ended: nothing may renew it.
@@ -366,6 +369,11 @@
     reports.apply(m, r);
   }
 
+  @Override
+  public void wantsToSend(Outbox o) {
+    toSend.add(o);
+  }
+
   @Override
   public void unanswered(Machine m) {
     if (m.probing) {
@@ -412,7 +420,7 @@
             && m.recorded
             && now - startedAt > 2 * Reports.lapseMs(settings)
             && m.listedAt == Job.UNKNOWN) {
-          m.gone = true;
+          machines.retire(m);
         }
         continue;
       }
@@ -491,10 +499,8 @@
       return;
     }
     writer.flush();
-    for (Machine m : machines.present()) {
-      if (m.addr != null) {
-        m.outbox.flush();
-      }
+    for (int n = toSend.size(); n > 0 && hasAuthority(); n--) {
+      toSend.poll().flush();
     }
   }
 
@@ -510,6 +516,7 @@
     int[] coming = new int[2];
     double[] cpus = new double[2];
     double[] used = new double[2];
+    Map<String, Integer> why = new TreeMap<>();
     for (Machine m : machines.present()) {
       int kind = m.spot ? 1 : 0;
       if (m.usable(calls.now())) {
@@ -518,13 +525,14 @@
         used[kind] += m.cpusUsed;
       } else {
         coming[kind]++;
+        why.merge(m.whyNotUsable(calls.now()), 1, Integer::sum);
       }
     }
     calls.note(
         String.format(
             java.util.Locale.ROOT,
             "%d jobs, %d tasks wait, %d on machines; ordinary %d up, %d not, %.0f of %.0f cpus;"
-                + " spot %d up, %d not, %.0f of %.0f cpus; restarts %d",
+                + " spot %d up, %d not, %.0f of %.0f cpus; restarts %d; writes wait %d; not up %s",
             ledger.jobs().size(),
             pending,
             bound,
@@ -536,18 +544,16 @@
             coming[1],
             used[1],
             cpus[1],
-            speculator.restarts()));
+            speculator.restarts(),
+            writer.waiting(),
+            why));
   }
 
   private void tellProgress() {
     told.keySet().removeIf(id -> ledger.job(id) == null);
     for (Job j : ledger.jobs()) {
-      int running = 0;
-      for (int t = 0; t < j.state.length && j.bound > 0; t++) {
-        running += j.state[t] == Job.RUNNING ? 1 : 0;
-      }
       PeerRecord.Progress p =
-          new PeerRecord.Progress(settings.node(), j.spec.id(), j.done, running);
+          new PeerRecord.Progress(settings.node(), j.spec.id(), j.done, j.running);
       if (!p.equals(told.put(j.spec.id(), p))) {
         desk.progress(p);
         calls.toPeers(p);
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -13,6 +13,7 @@
 import org.snowturn.wire.Command;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.Json;
+import org.snowturn.wire.Priority;
 import org.snowturn.wire.StateMessage.Change;
 import org.snowturn.wire.StateMessage.Condition;
 
@@ -31,6 +32,7 @@
   private final Map<String, Job> jobs = new HashMap<>();
   private final List<Job> byIndex = new ArrayList<>();
   private long attempts;
+  private final int[] boundBy = new int[Priority.values().length];
   private boolean changed = true;
 
   Ledger(
@@ -156,7 +158,7 @@
         .filter(t -> t < j.state.length && j.state[t] == Job.PENDING)
         .forEach(
             t -> {
-              j.state[t] = Job.DONE;
+              j.enter(t, Job.DONE);
               j.pending--;
               j.done++;
             });
@@ -167,8 +169,9 @@
       }
       Machine m = machines.getOrCreate(p.path(2).asText());
       take(j, t, m, p.path(1).asLong(), p.path(3).asLong());
-      j.state[t] = Job.STARTING;
+      j.enter(t, Job.STARTING);
       j.inherited.set(t);
+      m.inherited++;
       m.touchImage(j.spec.image(), j.spec.imageGb());
     }
   }
@@ -186,11 +189,30 @@
     j.pending--;
     j.bound++;
     j.boundInZone[m.zone]++;
+    j.countOn(m.index, 1);
+    boundBy[j.spec.priority().ordinal()]++;
     m.bound.add(Job.ref(j.index, t));
     m.use(j.spec, 1);
     quota.take(j.spec);
   }
 
+  /** An inherited task was seen under this token, or has ended. */
+  void known(Job j, int t) {
+    if (j.inherited.get(t)) {
+      j.inherited.clear(t);
+      machines.get(j.machine[t]).inherited--;
+    }
+  }
+
+  /** How many tasks that may be on machines are of lower priority than this. */
+  int boundBelow(Priority p) {
+    int n = 0;
+    for (int i = p.ordinal() + 1; i < boundBy.length; i++) {
+      n += boundBy[i];
+    }
+    return n;
+  }
+
   /** A number that no attempt under any leader has had. */
   long newAttempt() {
     return (token << 20) + ++attempts;
@@ -199,9 +221,8 @@
   /** Binds a pending task; its start is sent when the placement is durable. */
   void bind(Job j, int t, Machine m, long attempt) {
     take(j, t, m, attempt, m.session);
-    j.state[t] = Job.PLACING;
+    j.enter(t, Job.PLACING);
     j.placedWall = calls.wall();
-    j.inherited.clear(t);
     m.touchImage(j.spec.image(), j.spec.imageGb());
     writer.mark(
         chunk(j, j.chunkOf(t)), j.spec.priority().ordinal(), () -> sendStart(j, t, attempt));
@@ -216,7 +237,7 @@
       release(j, t);
       return;
     }
-    j.state[t] = Job.STARTING;
+    j.enter(t, Job.STARTING);
     calls.note("start " + j.spec.id() + "/" + t + " on " + m.id);
     m.outbox.add(start(j, t));
   }
@@ -247,7 +268,7 @@
   /** The task has certainly ended without a result: it waits again. */
   void release(Job j, int t) {
     unbind(j, t);
-    j.state[t] = Job.PENDING;
+    j.enter(t, Job.PENDING);
     j.pending++;
     changed = true;
     finishIfOver(j);
@@ -263,8 +284,10 @@
     quota.give(j.spec);
     j.boundInZone[m.zone]--;
     j.bound--;
+    j.countOn(m.index, -1);
+    boundBy[j.spec.priority().ordinal()]--;
     j.stopping.clear(t);
-    j.inherited.clear(t);
+    known(j, t);
     j.machine[t] = -1;
   }
 
@@ -278,7 +301,7 @@
     } else {
       j.pending--;
     }
-    j.state[t] = Job.DONE;
+    j.enter(t, Job.DONE);
     j.done++;
     changed = true;
     if (!j.cancelled) {
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -57,6 +57,9 @@
   double memoryUsed;
   final LongHashSet bound = new LongHashSet();
 
+  /** How many of them an earlier leader bound and this one has not seen yet. */
+  int inherited;
+
   /** Images that the machine should have, most recently used last, with their sizes. */
   final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -66,6 +69,7 @@
   double workDone;
   private final double[] ratios = new double[32];
   private int ratioCount;
+  private double slowness = 1;
 
   /**
    * Attempts whose direct start got no answer: it may still arrive, so they are never forgotten.
@@ -136,6 +140,21 @@
         && now >= blockedUntil;
   }
 
+  /** Why no new work may go there, in a word for operators. */
+  String whyNotUsable(long now) {
+    return lastReportAt == Job.UNKNOWN
+        ? "unheard"
+        : deleting || returning
+            ? "leaving"
+            : takenAt != Long.MAX_VALUE
+                ? "noticed"
+                : sick
+                    ? "sick"
+                    : suspect
+                        ? "silent"
+                        : !acknowledged ? "unacknowledged" : !recorded ? "unrecorded" : "blocked";
+  }
+
   void touchImage(String image, double gb) {
     images.put(image, gb);
     double total = 0;
@@ -152,17 +171,17 @@
 
   void finishedWork(double ratio) {
     ratios[ratioCount++ % ratios.length] = ratio;
+    slowness = Double.NaN;
     workDone += 1;
   }
 
   /** The median of finished run times over their arrays' medians; 1 before there are any. */
   double slowness() {
-    int n = Math.min(ratioCount, ratios.length);
-    if (n == 0) {
-      return 1;
+    if (Double.isNaN(slowness)) {
+      double[] sorted = java.util.Arrays.copyOf(ratios, Math.min(ratioCount, ratios.length));
+      java.util.Arrays.sort(sorted);
+      slowness = sorted[sorted.length / 2];
     }
-    double[] sorted = java.util.Arrays.copyOf(ratios, n);
-    java.util.Arrays.sort(sorted);
-    return sorted[n / 2];
+    return slowness;
   }
 }
--- a/src/main/java/org/snowturn/core/MachineBook.java
+++ b/src/main/java/org/snowturn/core/MachineBook.java
@@ -12,6 +12,7 @@
   private final List<Machine> all = new ArrayList<>();
   private final List<String> zoneNames;
   private final Function<Machine, Outbox> outboxes;
+  private List<Machine> present;
 
   MachineBook(List<String> zones, Function<Machine, Outbox> outboxes) {
     this.zoneNames = List.copyOf(zones);
@@ -53,19 +54,29 @@
       m.zone = zoneNames.size();
       m.outbox = outboxes.apply(m);
       all.add(m);
+      present = null;
       byId.put(id, m.index);
     }
     return m;
   }
 
-  /** The machines that are not known to be gone. */
+  /** The machines that are not known to be gone: a list that no later change alters. */
   List<Machine> present() {
-    List<Machine> out = new ArrayList<>();
-    for (Machine m : all) {
-      if (!m.gone) {
-        out.add(m);
-      }
+    if (present == null) {
+      present = all.stream().filter(m -> !m.gone).toList();
     }
-    return out;
+    return present;
+  }
+
+  /** The machine is taken for gone. */
+  void retire(Machine m) {
+    m.gone = true;
+    present = null;
+  }
+
+  /** The machine was taken for gone, and yet it is there. */
+  void revive(Machine m) {
+    m.comeBack();
+    present = null;
   }
 }
--- a/src/main/java/org/snowturn/core/Outbox.java
+++ b/src/main/java/org/snowturn/core/Outbox.java
@@ -27,6 +27,9 @@
 
     void reported(Report report);
 
+    /** The outbox has something to send and is not in the queue yet. */
+    void wantsToSend(Outbox o);
+
     void unanswered(Machine m);
   }
 
@@ -36,6 +39,7 @@
   private final Map<String, Command> queue = new LinkedHashMap<>();
   private boolean busy;
   private boolean probe;
+  private boolean queued;
 
   Outbox(Calls calls, Host host, Machine machine) {
     this.calls = calls;
@@ -45,11 +49,21 @@
 
   void add(Command c) {
     queue.put(c.op() + c.job() + "/" + c.task() + "#" + c.attempt(), c);
+    want();
+  }
+
+  /** Only outboxes with something to send are looked at: most machines have nothing. */
+  private void want() {
+    if (!queued && !busy) {
+      queued = true;
+      host.wantsToSend(this);
+    }
   }
 
   /** Sends a message even without commands, to learn what the machine runs. */
   void ask() {
     probe = true;
+    want();
   }
 
   /** One number for an attempt of a task; attempts of a gang's tasks are the same. */
@@ -57,6 +71,13 @@
     return attempt * 131_072 + task;
   }
 
+  /** The machine's address has become known. */
+  void resume() {
+    if (!queue.isEmpty() || probe) {
+      want();
+    }
+  }
+
   void drop() {
     queue.clear();
   }
@@ -66,7 +87,12 @@
   }
 
   void flush() {
-    if (busy || (queue.isEmpty() && !probe) || machine.gone || !host.hasAuthority()) {
+    queued = false;
+    if (busy
+        || machine.addr == null
+        || (queue.isEmpty() && !probe)
+        || machine.gone
+        || !host.hasAuthority()) {
       return;
     }
     List<Command> commands = new ArrayList<>(queue.values());
@@ -92,6 +118,7 @@
 
   private void answered(List<Long> doubts, Outcome outcome, int status, JsonNode body) {
     busy = false;
+    resume();
     boolean settled = outcome == Outcome.REFUSED || (outcome == Outcome.ANSWERED && status < 500);
     if (settled) {
       // An earlier copy that got no answer keeps its doubt: only this message's own are settled.
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Priority;
 
@@ -25,6 +26,11 @@
   /** CPUs that arrays leave free on each ordinary machine, for one replica to start at once. */
   private double serviceReserve;
 
+  /** What found no room in the present plan. */
+  private final List<JobSpec> tooLarge = new ArrayList<>();
+
+  private long looks;
+
   Placer(Calls calls, Ledger ledger, MachineBook machines, FleetPolicy policy) {
     this.calls = calls;
     this.ledger = ledger;
@@ -60,6 +66,7 @@
             .thenComparingLong(j -> j.submittedWall)
             .thenComparing(j -> j.spec.id()));
     boolean room = true;
+    tooLarge.clear();
     for (Job j : waiting) {
       if (!placeJob(j, usable)) {
         room = false;
@@ -69,6 +76,26 @@
     return room;
   }
 
+  /**
+   * Whether a job that asks for no more, under no more constraints, found no room in this plan:
+   * then this one finds none either, and the machines need not be looked at again.
+   */
+  private boolean knownTooLarge(JobSpec s) {
+    for (JobSpec t : tooLarge) {
+      boolean noLess = s.cpus() >= t.cpus() && s.memoryGb() >= t.memoryGb() && s.gpus() >= t.gpus();
+      if (noLess && (t.spot() || !s.spot()) && (mayUseReserve(t) || !mayUseReserve(s))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void foundTooLarge(JobSpec s) {
+    if (s.types() == null && s.zone() == null && !s.spread() && !s.oneZone()) {
+      tooLarge.add(s);
+    }
+  }
+
   /** 0: can still be in time; 1: within one and a half times; 2: late whatever is done now. */
   private static int lateness(Job j, double wall) {
     double end = wall + j.spec.estimateS() * 1000;
@@ -84,24 +111,33 @@
     if (j.spec.kind() == JobSpec.Kind.GANG && !gangFits(j, usable)) {
       return false;
     }
+    if (!ledger.quota().allows(j.spec)) {
+      return true; // waits for its own team, not for room
+    }
+    if (knownTooLarge(j.spec)) {
+      return false;
+    }
+    // Scored once for all tasks of the job: a placement changes the machine it goes to, and makes
+    // others of its zone less good, so whatever comes out first and still has its score is best.
+    PriorityQueue<Candidate> candidates = new PriorityQueue<>();
+    for (Machine m : usable) {
+      offer(candidates, j, m);
+    }
+    if (candidates.isEmpty()) {
+      foundTooLarge(j.spec);
+      return false;
+    }
     long attempt = ledger.newAttempt();
     while (j.pending > 0) {
-      int t = j.nextPending();
       if (!ledger.quota().allows(j.spec)) {
-        return true; // waits for its own team, not for room
-      }
-      Machine best = null;
-      double bestScore = Double.MAX_VALUE;
-      for (Machine m : usable) {
-        if (fits(j, m) && j.avoid.get(t) != m.index) {
-          double score = score(j, m);
-          if (score < bestScore) {
-            best = m;
-            bestScore = score;
-          }
-        }
+        return true;
       }
+      int t = j.nextPending();
+      Machine best = best(candidates, j, t);
       if (best == null) {
+        if (candidates.isEmpty()) {
+          foundTooLarge(j.spec);
+        }
         return false;
       }
       if (j.spec.service()
@@ -110,10 +146,55 @@
         return true; // the task stopped for it ends within milliseconds, a fetch takes seconds
       }
       ledger.bind(j, t, best, j.spec.kind() == JobSpec.Kind.GANG ? attempt : ledger.newAttempt());
+      offer(candidates, j, best);
     }
     return true;
   }
 
+  /** A machine that could take a task, with what its score was when it was looked at. */
+  private record Candidate(Machine machine, double score) implements Comparable<Candidate> {
+    @Override
+    public int compareTo(Candidate o) {
+      int c = Double.compare(score, o.score);
+      return c != 0 ? c : Integer.compare(machine.index, o.machine.index);
+    }
+  }
+
+  private void offer(PriorityQueue<Candidate> candidates, Job j, Machine m) {
+    looks++;
+    if (fits(j, m)) {
+      candidates.add(new Candidate(m, score(j, m)));
+    }
+  }
+
+  /** Takes out the machine with the least score that the task may go to; null if there is none. */
+  private Machine best(PriorityQueue<Candidate> candidates, Job j, int t) {
+    List<Candidate> avoided = List.of();
+    Machine found = null;
+    while (found == null && !candidates.isEmpty()) {
+      Candidate c = candidates.poll();
+      looks++;
+      if (!fits(j, c.machine)) {
+        continue;
+      }
+      double score = score(j, c.machine);
+      if (score > c.score) {
+        candidates.add(new Candidate(c.machine, score));
+      } else if (j.avoid.get(t) == c.machine.index) {
+        avoided = List.of(c);
+      } else {
+        found = c.machine;
+      }
+    }
+    candidates.addAll(avoided);
+    return found;
+  }
+
+  /** How many times a machine was looked at for a job so far. */
+  long looks() {
+    return looks;
+  }
+
   /** A gang is placed whole or not at all: its tasks do nothing until all of them are there. */
   private boolean gangFits(Job j, List<Machine> usable) {
     j.gangZone = -1;
@@ -166,12 +247,11 @@
     if (!m.hasRoom(j.spec) || !allowed(j, m)) {
       return false;
     }
-    boolean intoReserve =
-        !m.spot
-            && !j.spec.service()
-            && j.spec.priority() != Priority.PRODUCTION
-            && m.cpusFree() - j.spec.cpus() < serviceReserve - 1e-6;
-    return !intoReserve;
+    return m.spot || mayUseReserve(j.spec) || m.cpusFree() - j.spec.cpus() >= serviceReserve - 1e-6;
+  }
+
+  private static boolean mayUseReserve(JobSpec s) {
+    return s.service() || s.priority() == Priority.PRODUCTION;
   }
 
   /** Seconds, roughly, that the task loses by going there, plus what the choice costs others. */
@@ -183,7 +263,7 @@
     }
     if (s.service()) {
       // Replicas of one job apart, and away from machines that are nearly full.
-      score += 5.0 * onMachine(j, m);
+      score += 5.0 * j.on(m);
       score += 1.5 * j.boundInZone[m.zone];
     } else {
       if (!m.spot) {
@@ -215,16 +295,6 @@
     return false;
   }
 
-  private int onMachine(Job j, Machine m) {
-    int n = 0;
-    for (int t = 0; t < j.state.length; t++) {
-      if (j.machine[t] == m.index) {
-        n++;
-      }
-    }
-    return n;
-  }
-
   /** Makes room, or waits for room being made, on a machine that has a new service's image. */
   private boolean roomWithImage(Job j, List<Machine> usable) {
     if (calls.wall() - j.submittedWall > IMAGE_PATIENCE_MS) {
@@ -276,7 +346,7 @@
 
   /** Stops tasks of lower priority where that lets a task of this job start. */
   private boolean makeRoom(Job j, List<Machine> usable) {
-    if (j.spec.priority() == Priority.LOW || !ledger.quota().allows(j.spec)) {
+    if (ledger.boundBelow(j.spec.priority()) == 0 || !ledger.quota().allows(j.spec)) {
       return false;
     }
     long now = calls.now();
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -1,9 +1,7 @@
 package org.snowturn.core;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.agrona.collections.LongArrayList;
 import org.agrona.collections.LongHashSet;
 import org.snowturn.config.Settings;
@@ -103,7 +101,7 @@
         ledger.complete(j, t.task());
       }
     }
-    if (mine) {
+    if (mine && m.inherited > 0) {
       releaseUnlistedInherited(m, listed);
     }
     return true;
@@ -141,12 +139,12 @@
   private void seen(Machine m, Job j, TaskReport r, boolean mine) {
     int t = r.task();
     switch (r.state()) {
-      case FETCHING -> j.state[t] = Job.FETCHING;
+      case FETCHING -> j.enter(t, Job.FETCHING);
       case RUNNING, SAVING -> {
         if (j.state[t] != Job.RUNNING) {
           // Times of tasks that an earlier leader started are unknown, so they never look slow.
           j.since[t] = j.inherited.get(t) ? Job.UNKNOWN : calls.now();
-          j.state[t] = Job.RUNNING;
+          j.enter(t, Job.RUNNING);
           double waited = (calls.wall() - j.submittedWall) / 1000.0;
           if (j.spec.service() && waited > 1.5 && j.failures == 0 && !j.inherited.get(t)) {
             calls.note(
@@ -171,7 +169,7 @@
     }
     if (mine && j.isBound(t)) {
       // Seen under this token: from now on only its own end releases it.
-      j.inherited.clear(t);
+      ledger.known(j, t);
     }
   }
 
@@ -228,7 +226,7 @@
     if (r.session() != m.session || r.seq() != m.seq) {
       return out;
     }
-    Set<Long> listed = new HashSet<>();
+    LongHashSet listed = new LongHashSet();
     for (TaskReport t : r.tasks()) {
       Job j = ledger.job(t.job());
       boolean known = j != null && t.task() < j.state.length;
@@ -292,6 +290,7 @@
   /** Takes a machine's description from its report. */
   void describe(Machine m, Report r) {
     m.addr = r.addr();
+    m.outbox.resume();
     m.type = r.type();
     m.spot = r.spot();
     m.shape = catalog.get(r.type());
--- a/src/main/java/org/snowturn/core/Samples.java
+++ b/src/main/java/org/snowturn/core/Samples.java
@@ -6,12 +6,14 @@
 final class Samples {
   private double[] values = new double[8];
   private int size;
+  private double[] sorted;
 
   void add(double v) {
     if (size == values.length) {
       values = Arrays.copyOf(values, size * 2);
     }
     values[size++] = v;
+    sorted = null;
   }
 
   int size() {
@@ -35,8 +37,10 @@
     if (size == 0) {
       return Double.NaN;
     }
-    double[] sorted = Arrays.copyOf(values, size);
-    Arrays.sort(sorted);
+    if (sorted == null) {
+      sorted = Arrays.copyOf(values, size);
+      Arrays.sort(sorted);
+    }
     return sorted[Math.min((int) Math.floor(percent / 100 * size), size - 1)];
   }
 }
--- a/src/main/java/org/snowturn/core/Speculator.java
+++ b/src/main/java/org/snowturn/core/Speculator.java
@@ -1,5 +1,6 @@
 package org.snowturn.core;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,9 @@
  * that has shown to be fast enough.
  */
 final class Speculator {
+  /** Slow tasks that are put to the gain test in one consideration, longest time to end first. */
+  private static final int MOST_TRIED = 20;
+
   private final Calls calls;
   private final Tunables figures;
   private final Ledger ledger;
@@ -71,9 +75,12 @@
     return ran > expected ? ran : expected - ran;
   }
 
-  private record Candidate(Job job, int task, boolean overdue, double left) {
-    boolean before(Candidate o) {
-      return o == null || (overdue != o.overdue ? overdue : left > o.left);
+  /** Sorted: the overdue first, then by the longest time to end. */
+  private record Candidate(Job job, int task, boolean overdue, double left)
+      implements Comparable<Candidate> {
+    @Override
+    public int compareTo(Candidate o) {
+      return overdue != o.overdue ? (overdue ? -1 : 1) : Double.compare(o.left, left);
     }
   }
 
@@ -86,29 +93,40 @@
     int running = 0;
     int again = 0;
     for (Job j : ledger.jobs()) {
-      for (int t = 0; t < j.state.length && j.bound > 0; t++) {
-        if (j.isBound(t)) {
-          running++;
-          again += j.restarted.get(t) ? 1 : 0;
-        }
-      }
+      running += j.bound;
+      again += j.restarts > 0 ? boundAgain(j) : 0;
     }
     if (again + 1 > Math.max(1, figures.speculativeCap() * running)) {
       return;
     }
-    double bar = workBar();
-    Candidate best = null;
+    List<Candidate> slow = new ArrayList<>();
     for (Job j : ledger.jobs()) {
       if (j.spec.kind() == JobSpec.Kind.ARRAY
           && !j.cancelled
           && !j.runTimes.isEmpty()
-          && j.bound > 0) {
-        best = slowest(j, bar, best);
+          && j.running > 0) {
+        addSlow(j, slow);
       }
     }
-    if (best != null) {
-      restart(best);
+    if (slow.isEmpty()) {
+      return;
+    }
+    slow.sort(null);
+    List<Machine> fast = fastEnough();
+    for (Candidate c : slow.subList(0, Math.min(MOST_TRIED, slow.size()))) {
+      if (gains(c, fast)) {
+        restart(c);
+        return;
+      }
+    }
+  }
+
+  private static int boundAgain(Job j) {
+    int n = 0;
+    for (int t = j.restarted.nextSetBit(0); t >= 0; t = j.restarted.nextSetBit(t + 1)) {
+      n += j.isBound(t) ? 1 : 0;
     }
+    return n;
   }
 
   private double totalWork(Machine m) {
@@ -123,15 +141,24 @@
     return work;
   }
 
-  private double workBar() {
-    List<Machine> present = machines.present();
+  /** The machines whose total work reaches the bar; looked up only once there is a slow task. */
+  private List<Machine> fastEnough() {
+    List<Machine> usable = new ArrayList<>();
     Samples work = new Samples();
-    for (Machine m : present) {
+    for (Machine m : machines.present()) {
       if (m.usable(calls.now())) {
+        usable.add(m);
         work.add(totalWork(m));
       }
     }
-    return work.percentile(figures.slowNodePercentile());
+    double bar = work.percentile(figures.slowNodePercentile());
+    List<Machine> out = new ArrayList<>();
+    for (int i = 0; i < usable.size(); i++) {
+      if (work.get(i) >= bar) {
+        out.add(usable.get(i));
+      }
+    }
+    return out;
   }
 
   private double ran(Job j, int t) {
@@ -142,42 +169,45 @@
     return Math.max(0.1, j.median() * m.slowness());
   }
 
-  private Candidate slowest(Job j, double bar, Candidate best) {
-    Samples rates = new Samples();
-    for (int i = 0; i < j.runTimes.size(); i++) {
-      rates.add(1 / Math.max(0.1, j.runTimes.get(i)));
-    }
-    for (int t = 0; t < j.state.length; t++) {
-      if (judged(j, t)) {
-        rates.add(rate(ran(j, t), expected(j, machines.get(j.machine[t]))));
-      }
-    }
-    double threshold = rates.percentile(figures.slowTaskPercentile());
-    Candidate found = best;
+  /** Adds the array's tasks that are slow by the design's thresholds. */
+  private void addSlow(Job j, List<Candidate> slow) {
+    Samples rates = null;
     for (int t = 0; t < j.state.length; t++) {
       if (!judged(j, t) || j.restarted.get(t) || j.stopping.get(t)) {
         continue;
       }
-      Machine at = machines.get(j.machine[t]);
-      double expected = expected(j, at);
       double ran = ran(j, t);
-      if (ran < figures.judgeAfterS() || !(rate(ran, expected) < threshold)) {
+      if (ran < figures.judgeAfterS()) {
         continue;
       }
-      Candidate c = new Candidate(j, t, ran > expected, timeLeft(ran, expected));
-      if (c.before(found) && gains(c, at, bar)) {
-        found = c;
+      rates = rates == null ? rates(j) : rates;
+      double expected = expected(j, machines.get(j.machine[t]));
+      if (rate(ran, expected) < rates.percentile(figures.slowTaskPercentile())) {
+        slow.add(new Candidate(j, t, ran > expected, timeLeft(ran, expected)));
       }
     }
-    return found;
+  }
+
+  /** Rates of the array's finished and running tasks. */
+  private Samples rates(Job j) {
+    Samples rates = new Samples();
+    for (int i = 0; i < j.runTimes.size(); i++) {
+      rates.add(1 / Math.max(0.1, j.runTimes.get(i)));
+    }
+    for (int t = 0; t < j.state.length; t++) {
+      if (judged(j, t)) {
+        rates.add(rate(ran(j, t), expected(j, machines.get(j.machine[t]))));
+      }
+    }
+    return rates;
   }
 
   private boolean judged(Job j, int t) {
     return j.state[t] == Job.RUNNING && j.since[t] != Job.UNKNOWN;
   }
 
-  private boolean gains(Candidate c, Machine at, double bar) {
-    Machine target = target(c.job, at, bar);
+  private boolean gains(Candidate c, List<Machine> fast) {
+    Machine target = target(c.job, machines.get(c.job.machine[c.task]), fast);
     if (target == null) {
       return false;
     }
@@ -188,17 +218,16 @@
     return c.left > figures.gainFactor() * expected(c.job, target) + fetch;
   }
 
-  private Machine target(Job j, Machine at, double bar) {
+  private Machine target(Job j, Machine at, List<Machine> fast) {
     Machine best = null;
-    for (Machine m : machines.present()) {
-      boolean candidate =
-          m != at
-              && m.usable(calls.now())
-              && m.hasRoom(j.spec)
-              && placer.allowed(j, m)
-              && totalWork(m) >= bar;
-      if (candidate && (best == null || placer.score(j, m) < placer.score(j, best))) {
-        best = m;
+    double bestScore = Double.MAX_VALUE;
+    for (Machine m : fast) {
+      if (m != at && m.hasRoom(j.spec) && placer.allowed(j, m)) {
+        double score = placer.score(j, m);
+        if (score < bestScore) {
+          best = m;
+          bestScore = score;
+        }
       }
     }
     return best;
