Hires ask for all that is short, and again when own machines have ended

A kind once refused was left alone for up to 30 s even when machines of ours had just ended and could be had again.

Change: a hire asks for what is short, shared among the type's zones, up to the protocol's 50; the end of an own machine shortens the pause of its kind to 2 s.

Ruled out: the cloud's rate, 1.2 requests a second.

--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -29,6 +29,9 @@
 
   private static final long MOVE_EVERY_MS = 1_500;
 
+  /** A kind that was refused is asked for again so soon after one of ours has ended. */
+  private static final long FREED_MS = 2_000;
+
   /** Surplus machines looked at in one go, the least used first. */
   private static final int MOST_TRIED = 8;
 
@@ -207,6 +210,7 @@
       long known = Math.max(m.listedAt, m.firstSeenAt);
       if (!m.deleting && silent && m.bound.isEmpty() && now - known > stale) {
         machines.retire(m);
+        freed(m);
       }
     }
   }
@@ -251,6 +255,7 @@
             if (outcome == Outcome.ANSWERED && status == 200) {
               machines.retire(m);
               m.deleted = true;
+              freed(m);
               reports.releaseAll(m);
             } else {
               m.deleteRetryAt = calls.now() + 1000;
@@ -370,18 +375,20 @@
         if (kind == null || !spend()) {
           break;
         }
-        double cpus = catalog.get(kind.type).cpus();
-        int count =
-            policy.generous()
-                ? 3
-                : (int) Math.max(1, Math.min(2, Math.round((target - supply(spot)) / cpus)));
-        Hire h = new Hire("r-" + token + "-" + ++hires, kind, Math.min(MOST_PER_HIRE, count));
+        MachineType type = catalog.get(kind.type);
+        Hire h = new Hire("r-" + token + "-" + ++hires, kind, count(type, target - supply(spot)));
         inFlight.add(h);
         send(h);
       }
     }
   }
 
+  /** How many to ask for at once: what is short, shared among the zones. */
+  private static int count(MachineType type, double shortage) {
+    double machines = Math.ceil(shortage / Math.max(1, type.cpus()) / type.zones().size());
+    return (int) Math.max(1, Math.min(MOST_PER_HIRE, machines));
+  }
+
   private boolean allRefused(boolean spot) {
     for (MachineType t : catalog.all()) {
       for (String z : t.zones()) {
@@ -496,6 +503,15 @@
     }
   }
 
+  /** One of our machines has ended: what it was may be had again. */
+  private void freed(Machine m) {
+    if (m.type != null) {
+      Kind k = new Kind(m.type, m.zone, m.spot);
+      refusals.remove(k);
+      refusedUntil.computeIfPresent(k, (x, until) -> Math.min(until, calls.now() + FREED_MS));
+    }
+  }
+
   private void refuse(Kind k, long now) {
     int n = refusals.merge(k, 1, Integer::sum);
     refusedUntil.put(k, now + Math.min(30_000, 6_000L * n));
