Placement weighs the start aims: replicas go where their image is in time

Cause: a second replica on a machine cost more (5) than fetching a 1 GB image elsewhere (1 s), so of 16 replicas most went to machines without the image and missed the class's start aim.

Change: a machine whose fetch takes longer than the class's "wait" aim (settings) counts 8 s worse; replicas of one job repel each other by 2 per machine and 0.5 per zone. The spread rule is unaffected.

--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -70,7 +70,7 @@
     writer = new Writer(calls, this, settings.stateLimits());
     ledger = new Ledger(calls, settings, writer, machines, new Quota(settings.teams()), token);
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
-    placer = new Placer(calls, ledger, machines, policy);
+    placer = new Placer(calls, settings, ledger, machines, policy);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer);
     fleet =
         new Fleet(
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
+import org.snowturn.config.Settings;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Priority;
 
@@ -15,6 +18,9 @@
   /** Seconds of preference for machines that the cloud may take back, where a job allows them. */
   private static final double ORDINARY_PENALTY_S = 10;
 
+  /** Seconds of preference for machines where a task starts within what its users want. */
+  private static final double LATE_START_S = 8;
+
   /** How long a new service waits for room beside its image rather than fetch it elsewhere. */
   private static final long IMAGE_PATIENCE_MS = 1_500;
 
@@ -22,6 +28,7 @@
   private final Ledger ledger;
   private final MachineBook machines;
   private final FleetPolicy policy;
+  private final Map<String, Double> startWithin = new HashMap<>();
 
   /** CPUs that arrays leave free on each ordinary machine, for one replica to start at once. */
   private double serviceReserve;
@@ -31,7 +38,12 @@
 
   private long looks;
 
-  Placer(Calls calls, Ledger ledger, MachineBook machines, FleetPolicy policy) {
+  Placer(Calls calls, Settings settings, Ledger ledger, MachineBook machines, FleetPolicy policy) {
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.kind().equals("wait")) {
+        startWithin.merge(o.jobClass(), o.withinS(), Math::min);
+      }
+    }
     this.calls = calls;
     this.ledger = ledger;
     this.machines = machines;
@@ -259,12 +271,13 @@
     JobSpec s = j.spec;
     double score = 0;
     if (!m.images.containsKey(s.image())) {
-      score += s.imageGb() / Math.max(0.01, m.shape.fetchGbPerS());
+      double fetch = s.imageGb() / Math.max(0.01, m.shape.fetchGbPerS());
+      score += fetch + (fetch > startWithinS(s) ? LATE_START_S : 0);
     }
     if (s.service()) {
-      // Replicas of one job apart, and away from machines that are nearly full.
-      score += 5.0 * j.on(m);
-      score += 1.5 * j.boundInZone[m.zone];
+      // Replicas of one job apart, as far as their image is there to start them in time.
+      score += 2.0 * j.on(m);
+      score += 0.5 * j.boundInZone[m.zone];
     } else {
       if (!m.spot) {
         score += ORDINARY_PENALTY_S;
@@ -280,6 +293,11 @@
     return score;
   }
 
+  /** How soon the users want tasks of this class to start; a long time if they do not say. */
+  private double startWithinS(JobSpec s) {
+    return startWithin.getOrDefault(s.jobClass(), Double.MAX_VALUE);
+  }
+
   /** Whether a replica on {@code from} could start on another machine without a fetch. */
   boolean couldStartElsewhere(Job j, Machine from) {
     for (Machine m : machines.present()) {
