No hires in a zone that fell silent as a whole; takeovers drop what they never heard

Cause: while a zone was cut off, its machines were deleted as silent and hired again in the same zone, the one with the least supply: up to 121 machines were paid for and counted as supply, and never heard of, until the cut ended. A leader that took over during a cut counted the zone's recorded machines as supply too.

Change: a zone with three silent machines and none heard, while others are heard, is dark until one of its machines reports; there one machine at the most is hired, and those never heard of do not count. Recorded machines that a new leader has not heard within a lapse are deleted. Scenario zone-cut (fails without the change: many hires in the zone).

--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -60,6 +61,7 @@
   private final Ledger ledger;
   private final Reports reports;
   private final Placer placer;
+  private final DarkZones darkZones;
   private final FleetPolicy policy;
   private final long token;
 
@@ -68,6 +70,7 @@
   private final List<Hire> inFlight = new ArrayList<>();
   private final List<Hire> repeats = new ArrayList<>();
   private final double[] held = new double[2];
+  private final int[] present;
   private final Map<Place, Double> heldInZone = new HashMap<>();
   private double budget;
   private long filledAt;
@@ -91,6 +94,7 @@
       Ledger ledger,
       Reports reports,
       Placer placer,
+      DarkZones darkZones,
       FleetPolicy policy,
       long token) {
     this.calls = calls;
@@ -101,8 +105,10 @@
     this.ledger = ledger;
     this.reports = reports;
     this.placer = placer;
+    this.darkZones = darkZones;
     this.policy = policy;
     this.token = token;
+    this.present = new int[machines.zoneCount()];
     this.filledAt = calls.now();
     this.budget = settings.cloudLimits().rps();
   }
@@ -269,7 +275,9 @@
     held[0] = 0;
     held[1] = 0;
     heldInZone.clear();
+    Arrays.fill(present, 0);
     for (Machine m : machines.present()) {
+      present[m.zone]++;
       if (counts(m)) {
         hold(m, 1);
       }
@@ -299,7 +307,8 @@
         && !m.returning
         && !m.suspect
         && m.takenAt == Long.MAX_VALUE
-        && m.shape != null;
+        && m.shape != null
+        && !(m.lastReportAt == Job.UNKNOWN && darkZones.dark(m.zone));
   }
 
   /** CPUs that the unfinished tasks need, memory counted by the leanest type's ratio. */
@@ -376,7 +385,11 @@
           break;
         }
         MachineType type = catalog.get(kind.type);
-        Hire h = new Hire("r-" + token + "-" + ++hires, kind, count(type, target - supply(spot)));
+        Hire h =
+            new Hire(
+                "r-" + token + "-" + ++hires,
+                kind,
+                darkZones.dark(kind.zone) ? 1 : count(type, target - supply(spot)));
         inFlight.add(h);
         send(h);
       }
@@ -409,7 +422,9 @@
         int zone = machines.zone(z);
         Kind k = new Kind(t.name(), zone, spot);
         boolean refused = calls.now() < refusedUntil.getOrDefault(k, 0L);
-        if (!machines.zoneKnown(zone) || refused || asked(k)) {
+        // One machine in a zone that is cut off will tell when it is back; more would be idle.
+        boolean idle = darkZones.dark(zone) && (present[zone] > 0 || asked(zone));
+        if (!machines.zoneKnown(zone) || refused || idle || asked(k)) {
           continue;
         }
         double price = spot ? t.spotPrice() : t.price();
@@ -425,6 +440,10 @@
     return best;
   }
 
+  private boolean asked(int zone) {
+    return inFlight.stream().anyMatch(h -> h.kind.zone == zone);
+  }
+
   /** One request of a kind at a time: its answer tells whether there is more. */
   private boolean asked(Kind k) {
     for (Hire h : inFlight) {
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -36,6 +36,7 @@
   private final Placer placer;
   private final Speculator speculator;
   private final Fleet fleet;
+  private final DarkZones darkZones;
   private final Map<String, Writer.Slot> machineSlots = new HashMap<>();
   private final Map<String, PeerRecord.Progress> told = new HashMap<>();
   private final ArrayDeque<Outbox> toSend = new ArrayDeque<>();
@@ -72,9 +73,11 @@
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
     placer = new Placer(calls, settings, ledger, machines, policy);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer);
+    darkZones = new DarkZones(machines.zoneCount());
     fleet =
         new Fleet(
-            calls, settings, tunables, catalog, machines, ledger, reports, placer, policy, token);
+            calls, settings, tunables, catalog, machines, ledger, reports, placer, darkZones,
+            policy, token);
     load();
   }
 
@@ -390,8 +393,8 @@
     int heard = 0;
     int silent = 0;
     for (Machine m : machines.present()) {
-      if (m.lastReportAt != Job.UNKNOWN && !m.deleting) {
-        if (calls.now() - m.lastReportAt > silentMs()) {
+      if (hasBeenUp(m) && !m.deleting) {
+        if (quiet(m)) {
           silent++;
         } else {
           heard++;
@@ -406,25 +409,46 @@
     return (long) (1000 * (settings.workers().reportS() * 1.25 + 0.8));
   }
 
+  /** Heard by this leader, or recorded by an earlier one. */
+  private static boolean hasBeenUp(Machine m) {
+    return m.lastReportAt != Job.UNKNOWN || m.recorded;
+  }
+
+  /** Whether a machine that has been up should have been heard again by now. */
+  private boolean quiet(Machine m) {
+    return m.lastReportAt != Job.UNKNOWN
+        ? calls.now() - m.lastReportAt > silentMs()
+        : calls.now() - startedAt > Reports.lapseMs(settings);
+  }
+
   private void sweep() {
     long now = calls.now();
     int heard = 0;
     int silent = 0;
+    darkZones.begin();
     for (Machine m : machines.present()) {
       if (m.shape == null && m.type != null) {
         m.shape = catalog.get(m.type);
       }
       reports.lapse(m);
+      if (!hasBeenUp(m)) {
+        continue;
+      }
+      boolean quiet = quiet(m);
+      darkZones.count(m, quiet);
       if (m.lastReportAt == Job.UNKNOWN) {
+        if (!quiet) {
+          continue;
+        }
         if (m.bound.isEmpty()
-            && m.recorded
             && now - startedAt > 2 * Reports.lapseMs(settings)
             && m.listedAt == Job.UNKNOWN) {
           machines.retire(m);
+        } else if (replaceable()) {
+          fleet.discard(m, "not heard of since the change of leader");
         }
         continue;
       }
-      boolean quiet = now - m.lastReportAt > silentMs();
       silent += quiet && !m.deleting ? 1 : 0;
       heard += quiet ? 0 : 1;
       if (quiet && !m.probing && !m.deleting && m.addr != null) {
@@ -438,6 +462,7 @@
         }
       }
     }
+    darkZones.end();
     boolean cutOff = silent >= 3 && heard * 4 < silent;
     if (cutOff && now - startedAt > 2 * Reports.lapseMs(settings) && !settings.peers().isEmpty()) {
       election.resign("most machines are out of reach");
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -204,6 +204,7 @@
       }
       case "pause" -> w.node(who(w, e[3])).pause(ms(e[4]));
       case "cut" -> cut(w, who(w, e[3]), e[4], ms(e[5]), e.length > 6 ? e[6] : "drop");
+      case "cut-zone" -> w.cutZone(e[3], ms(e[4]));
       case "outage" -> w.state.outage(ms(e[3]));
       case "refuse" -> {
         String node = who(w, e[3]);
@@ -320,6 +321,17 @@
             wrong.add(line + ", but " + n);
           }
         }
+        case "running-outside" -> {
+          long n =
+              w.workers.values().stream()
+                  .filter(x -> !x.rented.zone.equals(e[2]))
+                  .flatMap(x -> x.tasks.values().stream())
+                  .filter(t -> t.present && t.job.equals(e[3]))
+                  .count();
+          if (n != Integer.parseInt(e[4])) {
+            wrong.add(line + ", but " + n);
+          }
+        }
         case "refused" -> {
           if (!e[3].equals(w.users.job(e[2]).refused)) {
             wrong.add(line + ", but " + w.users.job(e[2]).refused);
@@ -339,6 +351,15 @@
             wrong.add(line + ", but " + n);
           }
         }
+        case "hired-most" -> {
+          long n =
+              w.cloud.machines.values().stream()
+                  .filter(r -> r.zone.equals(e[2]) && r.at >= ms(e[5]))
+                  .count();
+          if (n > Integer.parseInt(e[3])) {
+            wrong.add(line + ", but " + n);
+          }
+        }
         case "keys" -> {
           if (w.state.count(e[2]) != Integer.parseInt(e[3])) {
             wrong.add(line + ", but " + w.state.count(e[2]));
--- a/src/test/java/org/snowturn/sim/World.java
+++ b/src/test/java/org/snowturn/sim/World.java
@@ -50,6 +50,7 @@
   private final Map<String, Cut> cuts = new LinkedHashMap<>();
   private final Map<String, List<Runnable>> held = new LinkedHashMap<>();
   private final Set<String> deaf = new HashSet<>();
+  private final Set<String> cutZones = new HashSet<>();
   private long lateCommandsMs;
 
   World(long seed, Settings[] settings, Tunables tunables) {
@@ -108,6 +109,24 @@
     lateCommandsMs = ms;
   }
 
+  /** Cuts a zone off from everything outside of it, machines that come up later included. */
+  void cutZone(String zone, long ms) {
+    cutZones.add(zone);
+    after(ms, () -> cutZones.remove(zone));
+  }
+
+  private boolean zonesApart(String a, String b) {
+    String za = zoneOf(a);
+    String zb = zoneOf(b);
+    return !za.equals(zb) && (cutZones.contains(za) || cutZones.contains(zb));
+  }
+
+  private String zoneOf(String end) {
+    StandInWorker w = workers.get(end);
+    Node n = node(end);
+    return w != null ? w.rented.zone : n != null ? n.settings.zone() : "";
+  }
+
   boolean connected(String a, String b) {
     return !cuts.containsKey(pair(a, b));
   }
@@ -120,7 +139,7 @@
 
   /** Delivers a message after a delay, unless the way is cut. */
   void send(String from, String to, Runnable deliver) {
-    if (deaf.contains(to)) {
+    if (deaf.contains(to) || (!cutZones.isEmpty() && zonesApart(from, to))) {
       return;
     }
     Cut how = cuts.get(pair(from, to));
