Machine records share pages: starts of hundreds do not wait for writes

Change: the roll r/N holds as many machines as a value may, and one write records all that are new on a page. A task found on a machine that is not on the roll counts as answered until the takeover, so it cannot be taken for lapsed.

Ruled out: specials ahead of them.

--- a/src/main/java/org/snowturn/core/Keys.java
+++ b/src/main/java/org/snowturn/core/Keys.java
@@ -10,7 +10,7 @@
   static final String JOBS = "j/";
   static final String OVER = "d/";
   static final String TASKS = "t/";
-  static final String MACHINES = "m/";
+  static final String ROLL = "r/";
   static final String RESTARTS = "s/";
   static final int VERSION = 1;
 
@@ -28,10 +28,6 @@
     return TASKS + id + "/" + chunk;
   }
 
-  static String machine(String id) {
-    return MACHINES + id;
-  }
-
   static String restarts(String id) {
     return RESTARTS + id;
   }
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -1,6 +1,5 @@
 package org.snowturn.core;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,7 +9,6 @@
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.wire.Command;
-import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Report;
 import org.snowturn.wire.StateMessage;
@@ -37,7 +35,7 @@
   private final Speculator speculator;
   private final Fleet fleet;
   private final DarkZones darkZones;
-  private final Map<String, Writer.Slot> machineSlots = new HashMap<>();
+  private final MachineRoll roll;
   private final Map<String, PeerRecord.Progress> told = new HashMap<>();
   private final ArrayDeque<Outbox> toSend = new ArrayDeque<>();
   private List<StateMessage.Entry> loadedJobs = List.of();
@@ -70,6 +68,7 @@
     machines = new MachineBook(settings.zones(), m -> new Outbox(calls, this, m));
     writer = new Writer(calls, this, settings.stateLimits());
     ledger = new Ledger(calls, settings, writer, machines, new Quota(settings.teams()), token);
+    roll = new MachineRoll(writer, machines, settings.stateLimits().valueKb());
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
     placer = new Placer(calls, settings, ledger, machines, policy);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer);
@@ -136,12 +135,12 @@
   private void load() {
     Loader loader = new Loader(calls);
     loader.read(
-        Keys.MACHINES,
+        Keys.ROLL,
         ms -> {
           if (ended) {
             return;
           }
-          ms.entries().forEach(this::loadMachine);
+          ms.entries().forEach(e -> roll.load(e, this::loaded));
           loader.read(
               Keys.JOBS,
               js -> {
@@ -152,18 +151,11 @@
         });
   }
 
-  private void loadMachine(StateMessage.Entry e) {
-    Machine m = machines.getOrCreate(e.key().substring(Keys.MACHINES.length()));
-    JsonNode v = e.value();
-    m.addr = v.path("addr").asText(null);
-    m.type = v.path("type").asText(null);
-    m.zone = machines.zone(v.path("zone").asText());
-    m.spot = v.path("spot").asBoolean();
+  private void loaded(Machine m) {
     m.shape = catalog.get(m.type);
     m.lastAnswerAt = Math.max(m.lastAnswerAt, startedAt);
     m.firstSeenAt = startedAt;
     m.recorded = true;
-    machineSlot(m).stamp = e.stamp();
   }
 
   private void loaded(Loader.Range tasks, Loader.Range restarts) {
@@ -296,25 +288,6 @@
 
   // --- machines ---
 
-  private Writer.Slot machineSlot(Machine m) {
-    return machineSlots.computeIfAbsent(
-        m.id,
-        id ->
-            writer.slot(
-                Keys.machine(id),
-                0,
-                () ->
-                    m.gone
-                        ? null
-                        : Json.object()
-                            .put("v", Keys.VERSION)
-                            .put("addr", m.addr)
-                            .put("type", m.type)
-                            .put("zone", machines.zoneName(m.zone))
-                            .put("spot", m.spot),
-                () -> null));
-  }
-
   void checkIn(long exchange, Report r) {
     if (!hasAuthority()) {
       calls.refuse(exchange, 503, 0);
@@ -361,9 +334,8 @@
     }
     if (!m.recorded && !m.recording && m.shape != null) {
       m.recording = true;
-      writer.mark(
-          machineSlot(m),
-          0,
+      roll.enter(
+          m,
           () -> {
             m.recorded = true;
             ledger.somethingChanged();
@@ -467,17 +439,7 @@
     if (cutOff && now - startedAt > 2 * Reports.lapseMs(settings) && !settings.peers().isEmpty()) {
       election.resign("most machines are out of reach");
     }
-    for (Map.Entry<String, Writer.Slot> e : new ArrayList<>(machineSlots.entrySet())) {
-      Machine m = machines.find(e.getKey());
-      if (m.gone && m.bound.isEmpty() && !e.getValue().dirty && !e.getValue().inFlight) {
-        if (e.getValue().stamp == 0) {
-          writer.forget(e.getValue());
-          machineSlots.remove(e.getKey());
-        } else {
-          writer.mark(e.getValue(), 50, null);
-        }
-      }
-    }
+    roll.sweep();
   }
 
   // --- the loop ---
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -168,6 +168,8 @@
         continue;
       }
       Machine m = machines.getOrCreate(p.path(2).asText());
+      // An earlier leader may have answered it until now, whether or not it is on the roll.
+      m.lastAnswerAt = Math.max(m.lastAnswerAt, calls.now());
       take(j, t, m, p.path(1).asLong(), p.path(3).asLong());
       j.enter(t, Job.STARTING);
       j.inherited.set(t);
