Room for a service's replicas is made on as many machines at once

Cause: one machine was emptied per 1.5 s for all services together, so 16 new replicas on full machines would have waited 24 s.

Change: each job makes room for all of its waiting replicas at once, on one machine each, within its spread; machines where room is being made are left alone.

--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -76,6 +76,10 @@
   int done;
   int restarts;
   long backOffUntil;
+
+  /** Room is being made for waiting tasks, so none more is made until then. */
+  long roomUntil = UNKNOWN;
+
   int failures;
 
   /** When a task was last placed. */
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -24,6 +24,9 @@
   /** How long a new service waits for room beside its image rather than fetch it elsewhere. */
   private static final long IMAGE_PATIENCE_MS = 1_500;
 
+  /** How long room that is being made is waited for before more is made. */
+  private static final long ROOM_MS = 1_500;
+
   private final Calls calls;
   private final Ledger ledger;
   private final MachineBook machines;
@@ -318,12 +321,12 @@
     if (calls.wall() - j.submittedWall > IMAGE_PATIENCE_MS) {
       return false;
     }
+    if (calls.now() < j.roomUntil) {
+      return true;
+    }
     List<Machine> having = new ArrayList<>();
     for (Machine m : usable) {
       if (m.images.containsKey(j.spec.image()) && allowed(j, m)) {
-        if (calls.now() < m.preemptingUntil) {
-          return true;
-        }
         having.add(m);
       }
     }
@@ -333,6 +336,9 @@
   /** Moves a settled replica that can start elsewhere at once, to make room beside an image. */
   private boolean swap(Job j, List<Machine> having) {
     for (Machine m : having) {
+      if (calls.now() < m.preemptingUntil) {
+        continue;
+      }
       for (long ref : Reports.copy(m.bound)) {
         Job v = ledger.job(ref);
         int t = Ledger.task(ref);
@@ -352,7 +358,8 @@
                   + ", image of "
                   + j.spec.id()
                   + " there");
-          m.preemptingUntil = calls.now() + 1500;
+          m.preemptingUntil = calls.now() + ROOM_MS;
+          j.roomUntil = m.preemptingUntil;
           v.avoid.put(t, m.index);
           ledger.stop(v, t);
           return true;
@@ -362,46 +369,54 @@
     return false;
   }
 
-  /** Stops tasks of lower priority where that lets a task of this job start. */
+  /**
+   * Stops tasks of lower priority where that lets tasks of this job start: on one machine for each
+   * waiting task, all at once, since one after the other a large service would wait for minutes.
+   */
   private boolean makeRoom(Job j, List<Machine> usable) {
+    long now = calls.now();
+    if (now < j.roomUntil) {
+      return true; // room is being made already; see what it brings first
+    }
     if (ledger.boundBelow(j.spec.priority()) == 0 || !ledger.quota().allows(j.spec)) {
       return false;
     }
-    long now = calls.now();
-    Machine best = null;
-    List<Long> bestVictims = List.of();
-    double bestScore = Double.MAX_VALUE;
+    List<Room> rooms = new ArrayList<>();
     for (Machine m : usable) {
-      if (now < m.preemptingUntil) {
-        return true; // room is being made already; see what it brings first
+      if (now >= m.preemptingUntil && allowed(j, m)) {
+        List<Long> victims = victims(j, m);
+        if (victims != null) {
+          rooms.add(new Room(m, victims, score(j, m) + 10.0 * victims.size()));
+        }
       }
-      if (!allowed(j, m)) {
-        continue;
+    }
+    rooms.sort(Comparator.comparingDouble(Room::score));
+    int[] inZone = j.boundInZone.clone();
+    int wanted = j.pending;
+    for (Room r : rooms) {
+      if (wanted == 0) {
+        break;
       }
-      List<Long> victims = victims(j, m);
-      if (victims == null) {
+      if (j.spec.spread() && inZone[r.machine.zone] >= j.spec.perZoneLimit()) {
         continue;
       }
-      double score = score(j, m) + 10.0 * victims.size();
-      if (score < bestScore) {
-        best = m;
-        bestVictims = victims;
-        bestScore = score;
+      inZone[r.machine.zone]++;
+      wanted--;
+      r.machine.preemptingUntil = now + ROOM_MS;
+      j.roomUntil = r.machine.preemptingUntil;
+      for (long ref : r.victims) {
+        Job v = ledger.job(ref);
+        int t = Ledger.task(ref);
+        calls.note(v.spec.id() + "/" + t + " stopped on " + r.machine.id + " for " + j.spec.id());
+        ledger.stop(v, t);
       }
     }
-    if (best == null) {
-      return false;
-    }
-    best.preemptingUntil = now + 1500;
-    for (long ref : bestVictims) {
-      Job v = ledger.job(ref);
-      calls.note(
-          v.spec.id() + "/" + Ledger.task(ref) + " stopped on " + best.id + " for " + j.spec.id());
-      ledger.stop(v, Ledger.task(ref));
-    }
-    return true;
+    return now < j.roomUntil;
   }
 
+  /** What would have to stop on a machine for one task to start there. */
+  private record Room(Machine machine, List<Long> victims, double score) {}
+
   /** The tasks whose end would make room, least loss first; null if there are not enough. */
   private List<Long> victims(Job j, Machine m) {
     double cpus = j.spec.cpus() - m.cpusFree();
