Arrays leave no room for replicas any more: 720 CPUs were idle in bursts

Cause: on each ordinary machine one replica's room was kept from arrays.

Change: the reserve is gone.

--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -8,7 +8,6 @@
 import java.util.PriorityQueue;
 import org.snowturn.config.Settings;
 import org.snowturn.wire.JobSpec;
-import org.snowturn.wire.Priority;
 
 /**
  * Decides which waiting task goes where. Constraints are tested against every task that may still
@@ -33,9 +32,6 @@
   private final FleetPolicy policy;
   private final Map<String, Double> startWithin = new HashMap<>();
 
-  /** CPUs that arrays leave free on each ordinary machine, for one replica to start at once. */
-  private double serviceReserve;
-
   /** What found no room in the present plan. */
   private final List<JobSpec> tooLarge = new ArrayList<>();
 
@@ -63,11 +59,7 @@
       }
     }
     List<Job> waiting = new ArrayList<>();
-    serviceReserve = 0;
     for (Job j : ledger.jobs()) {
-      if (j.spec.service()) {
-        serviceReserve = Math.max(serviceReserve, j.spec.cpus());
-      }
       if (j.pending > 0 && !j.cancelled && now >= j.backOffUntil) {
         waiting.add(j);
       }
@@ -98,7 +90,7 @@
   private boolean knownTooLarge(JobSpec s) {
     for (JobSpec t : tooLarge) {
       boolean noLess = s.cpus() >= t.cpus() && s.memoryGb() >= t.memoryGb() && s.gpus() >= t.gpus();
-      if (noLess && (t.spot() || !s.spot()) && (mayUseReserve(t) || !mayUseReserve(s))) {
+      if (noLess && (t.spot() || !s.spot())) {
         return true;
       }
     }
@@ -259,14 +251,7 @@
   }
 
   private boolean fits(Job j, Machine m) {
-    if (!m.hasRoom(j.spec) || !allowed(j, m)) {
-      return false;
-    }
-    return m.spot || mayUseReserve(j.spec) || m.cpusFree() - j.spec.cpus() >= serviceReserve - 1e-6;
-  }
-
-  private static boolean mayUseReserve(JobSpec s) {
-    return s.service() || s.priority() == Priority.PRODUCTION;
+    return m.hasRoom(j.spec) && allowed(j, m);
   }
 
   /** Seconds, roughly, that the task loses by going there, plus what the choice costs others. */
