Takeovers are shorter: lease 2.5 s, promises 2 s, every machine is asked

Cause: after a leader's crash its lease (5 and 4 s) and its peers' promises (3 s) ran out first; then only machines with known tasks were asked at once, so idle ones took no work until their report had found the new leader, up to 4 s later.

Change: the lease lives a quarter of the workers' lease, at most 2.5 s; promises 2 s; a leader that the state service alone refuses resigns after 1.5 s, before that lease ends; all recorded machines are asked, and one that answers with a session the leader did not know is asked again. The safety argument is unchanged, only its figures are smaller.

--- a/src/main/java/org/snowturn/core/Election.java
+++ b/src/main/java/org/snowturn/core/Election.java
@@ -30,13 +30,18 @@
   private static final int CALL_MS = 1500;
   private static final long RETRY_MS = 400;
 
-  private static final int PROMISE_MS = 3000;
+  private static final int PROMISE_MS = 2000;
   private static final long TELL_MS = 300;
   private static final long PROBE_MS = 700;
 
   /** Without a good reply for this long, this node counts as having lost the state service. */
   private static final long STATE_LOST_MS = 2200;
 
+  /**
+   * A leader whose renewals fail for this long gives up if a peer is served: before its lease ends.
+   */
+  private static final long RESIGN_MS = 1500;
+
   private static final long PEER_NEWS_MS = 1500;
   private static final long HOLD_OFF_MS = 15_000;
 
@@ -94,7 +99,7 @@
 
   /** The lease's life: within a worker's lease a new leader must have been found by the workers. */
   static long ttlMs(Settings s, Tunables t) {
-    double ttl = t.leaderTtlS() > 0 ? t.leaderTtlS() : Math.min(5, s.workers().leaseS() * 0.4);
+    double ttl = t.leaderTtlS() > 0 ? t.leaderTtlS() : Math.min(2.5, s.workers().leaseS() * 0.25);
     // A cancellation must be carried out by the next leader even if its machine only lapses.
     double most = s.workers().cancelS() - s.workers().leaseS() - 2;
     return (long) (1000 * Math.max(0.5, Math.min(ttl, most)));
@@ -270,8 +275,7 @@
     // Counted from when the request was sent: the peer counts from when it arrived.
     long until = sentAt + (long) (p.durationMs() * (1 - DRIFT)) - 20;
     promises.merge(p.from(), until, Math::max);
-    boolean lost =
-        renewFailingSince != Job.UNKNOWN && calls.now() - renewFailingSince > STATE_LOST_MS;
+    boolean lost = renewFailingSince != Job.UNKNOWN && calls.now() - renewFailingSince > RESIGN_MS;
     if (lost && p.stateOk()) {
       resign("the state service answers " + p.from() + " but not this node");
     }
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -212,7 +212,7 @@
       for (long ref : Reports.copy(m.bound)) {
         m.session = Math.max(m.session, ledger.job(ref).session[Ledger.task(ref)]);
       }
-      if (m.session > 0 && m.addr != null) {
+      if (m.addr != null) {
         m.outbox.ask();
       }
     }
--- a/src/main/java/org/snowturn/core/Outbox.java
+++ b/src/main/java/org/snowturn/core/Outbox.java
@@ -106,17 +106,19 @@
         doubts.add(doubt(c.attempt(), c.task()));
       }
     }
+    long session = machine.session;
     calls.call(
         Effect.Target.WORKER,
         machine.addr,
         "POST",
         "/commands",
-        Command.direct(host.token(), machine.session, commands),
+        Command.direct(host.token(), session, commands),
         commands.isEmpty() ? ASK_TIMEOUT_MS : TIMEOUT_MS,
-        (outcome, status, body) -> answered(doubts, outcome, status, body));
+        (outcome, status, body) -> answered(session, doubts, outcome, status, body));
   }
 
-  private void answered(List<Long> doubts, Outcome outcome, int status, JsonNode body) {
+  private void answered(
+      long session, List<Long> doubts, Outcome outcome, int status, JsonNode body) {
     busy = false;
     resume();
     boolean settled = outcome == Outcome.REFUSED || (outcome == Outcome.ANSWERED && status < 500);
@@ -127,6 +129,9 @@
     if (outcome == Outcome.ANSWERED && (status == 200 || status == 409)) {
       try {
         host.reported(Report.parse(body));
+        if (status == 409 && machine.session > session) {
+          ask(); // a new leader did not know the session: now the machine can learn the token
+        }
         return;
       } catch (MalformedException e) {
         calls.note("report of " + machine.id + " ignored: " + e.getMessage());
