Results leave budget to placements and are written several at a time

Cause: results were written as soon as one change was within the budget, one or two to a transaction: some 90 records waited at any time, and a placement of several records found the budget spent and waited up to a third of a second.

--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -22,7 +22,6 @@
  * room, quota, zones and records always agree.
  */
 final class Ledger {
-  private static final int RESULT_URGENCY = 20;
   private final Calls calls;
   private final Settings settings;
   private final Writer writer;
@@ -32,6 +31,7 @@
   private final Map<String, Job> jobs = new HashMap<>();
   private final List<Job> byIndex = new ArrayList<>();
   private long attempts;
+  private long placements;
   private final int[] boundBy = new int[Priority.values().length];
   private boolean changed = true;
 
@@ -215,6 +215,11 @@
     return n;
   }
 
+  /** How many tasks this leader has placed. */
+  long placements() {
+    return placements;
+  }
+
   /** A number that no attempt under any leader has had. */
   long newAttempt() {
     return (token << 20) + ++attempts;
@@ -225,6 +230,7 @@
     take(j, t, m, attempt, m.session);
     j.enter(t, Job.PLACING);
     j.placedWall = calls.wall();
+    placements++;
     m.touchImage(j.spec.image(), j.spec.imageGb());
     writer.mark(
         chunk(j, j.chunkOf(t)), j.spec.priority().ordinal(), () -> sendStart(j, t, attempt));
@@ -308,7 +314,7 @@
     changed = true;
     if (!j.cancelled) {
       j.resultPending.set(t);
-      writer.mark(chunk(j, j.chunkOf(t)), RESULT_URGENCY, () -> j.resultPending.clear(t));
+      writer.mark(chunk(j, j.chunkOf(t)), Writer.CAN_WAIT, () -> j.resultPending.clear(t));
     }
     finishIfOver(j);
   }
--- a/src/main/java/org/snowturn/core/Writer.java
+++ b/src/main/java/org/snowturn/core/Writer.java
@@ -27,6 +27,12 @@
   /** Shares of the write budget left to the users of all nodes. */
   private static final double SHARE = 0.75;
 
+  /** Slots of this urgency or more can wait a while. */
+  static final int CAN_WAIT = 20;
+
+  /** The share of the budget that is kept for slots that cannot wait. */
+  private static final double KEPT = 0.4;
+
   private static final int TIMEOUT_MS = 1500;
   private static final int IN_FLIGHT = 3;
   private static final int MAX_BYTES = 40_000;
@@ -184,11 +190,13 @@
     when.add(new Condition(Keys.LEADER, host.token()));
     Map<String, Condition> guards = new LinkedHashMap<>();
     int most = (int) Math.min(limits.txnOps(), Math.floor(budget));
+    int canWait = mostThatCanWait();
     int bytes = 0;
     outer:
-    for (var queue : dirty.values()) {
-      for (Slot s : queue.values()) {
-        if (taken.size() >= most || bytes > MAX_BYTES) {
+    for (var queue : dirty.entrySet()) {
+      for (Slot s : queue.getValue().values()) {
+        boolean enough = taken.size() >= (queue.getKey() < CAN_WAIT ? most : canWait);
+        if (enough || taken.size() >= most || bytes > MAX_BYTES) {
           break outer;
         }
         if (s.inFlight) {
@@ -234,6 +242,16 @@
     return true;
   }
 
+  /**
+   * How many slots that can wait the next transaction may hold in all: they leave a share of the
+   * budget to placements, which else would find it spent on results, and go several at a time.
+   */
+  private int mostThatCanWait() {
+    int left = (int) Math.floor(budget - limits.writeRps() * SHARE * KEPT);
+    int enough = Math.min(waiting(), Math.max(1, limits.txnOps() / 2));
+    return left < enough ? 0 : left;
+  }
+
   private void settle(
       List<Slot> taken,
       List<Change> apply,
