--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -69,7 +69,7 @@
     machines = new MachineBook(settings.zones(), m -> new Outbox(calls, this, m));
     writer = new Writer(calls, this, settings.stateLimits());
     ledger = new Ledger(calls, settings, writer, machines, new Quota(settings.teams()), token);
-    roll = new MachineRoll(writer, machines, settings.stateLimits().valueKb());
+    roll = new MachineRoll(calls, writer, machines, settings.stateLimits().valueKb());
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
     placer = new Placer(calls, settings, ledger, machines, policy);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer);
@@ -157,6 +157,7 @@
 
   private void loaded(Machine m) {
     m.shape = catalog.get(m.type);
+    m.imagesChanged = false;
     m.lastAnswerAt = Math.max(m.lastAnswerAt, startedAt);
     m.firstSeenAt = startedAt;
     m.recorded = true;
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -63,6 +63,9 @@
   /** Images that the machine should have, most recently used last, with their sizes. */
   final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
+  /** Whether the stored list of images is behind. */
+  boolean imagesChanged;
+
   int errorsInRow;
   int lastErrorJob = -1;
   int errorJobs;
@@ -156,7 +159,7 @@
   }
 
   void touchImage(String image, double gb) {
-    images.put(image, gb);
+    imagesChanged |= images.put(image, gb) == null;
     double total = 0;
     for (double g : images.values()) {
       total += g;
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -287,6 +287,15 @@
     w.after(ms, () -> ends.forEach(x -> w.heal(node, x)));
   }
 
+  /** Where the notes say that the job's first task was started last. */
+  private static String lastMachine(World w, String job) {
+    String start = " start " + job + "/0 on ";
+    return w.log.stream()
+        .filter(l -> l.contains(start))
+        .map(l -> l.substring(l.indexOf(start) + start.length()))
+        .reduce("", (a, b) -> b);
+  }
+
   private List<String> verdict(World w) {
     List<String> wrong = new ArrayList<>();
     List<String> brokenExpected = new ArrayList<>();
@@ -332,6 +341,11 @@
             wrong.add(line + ", but " + n);
           }
         }
+        case "same-machine" -> {
+          if (!lastMachine(w, e[2]).equals(lastMachine(w, e[3]))) {
+            wrong.add(line + ", but " + lastMachine(w, e[2]) + " and " + lastMachine(w, e[3]));
+          }
+        }
         case "refused" -> {
           if (!e[3].equals(w.users.job(e[2]).refused)) {
             wrong.add(line + ", but " + w.users.job(e[2]).refused);
