Silent machines get no new work; unanswered commands count as probes

Change: a machine that has missed its report is not usable; a message left unanswered keeps new work away for 1.5 s or until a report, and from a machine that has missed its report it counts as a failed probe.

--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -18,6 +18,10 @@
   private static final long SWEEP_MS = 250;
   private static final long PROGRESS_MS = 1000;
   private static final long SUMMARY_MS = 10_000;
+
+  /** A machine that left a message unanswered gets no new work for so long, or until it reports. */
+  private static final long UNANSWERED_MS = 1_500;
+
   private final Calls calls;
   private final Settings settings;
   private final Tunables tunables;
@@ -356,7 +360,10 @@
 
   @Override
   public void unanswered(Machine m) {
-    if (m.probing) {
+    // Commands count as well as probes: a dead machine with free room is given new ones again and
+    // again, and would never be probed.
+    m.blockedUntil = Math.max(m.blockedUntil, calls.now() + UNANSWERED_MS);
+    if (m.probing || (hasBeenUp(m) && quiet(m))) {
       m.probing = false;
       if (m.suspect && m.lastReportAt != Job.UNKNOWN && replaceable()) {
         fleet.discard(m, "silent");
@@ -382,10 +389,6 @@
         && silent <= Math.max(2, heard * 2 / 3);
   }
 
-  private long silentMs() {
-    return (long) (1000 * (settings.workers().reportS() * 1.25 + 0.8));
-  }
-
   /** Heard by this leader, or recorded by an earlier one. */
   private static boolean hasBeenUp(Machine m) {
     return m.lastReportAt != Job.UNKNOWN || m.recorded;
@@ -394,7 +397,7 @@
   /** Whether a machine that has been up should have been heard again by now. */
   private boolean quiet(Machine m) {
     return m.lastReportAt != Job.UNKNOWN
-        ? calls.now() - m.lastReportAt > silentMs()
+        ? calls.now() > m.quietFrom
         : calls.now() - startedAt > Reports.lapseMs(settings);
   }
 
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -25,6 +25,9 @@
 
   long lastReportAt = Job.UNKNOWN;
 
+  /** From then on, without another report, the machine may have died: nothing new goes there. */
+  long quietFrom = Job.UNKNOWN;
+
   /** When a 200 that may have renewed the lease could last have been sent, by any leader. */
   long lastAnswerAt;
 
@@ -140,7 +143,8 @@
         && recorded
         && shape != null
         && takenAt == Long.MAX_VALUE
-        && now >= blockedUntil;
+        && now >= blockedUntil
+        && now < quietFrom;
   }
 
   /** Why no new work may go there, in a word for operators. */
@@ -153,7 +157,7 @@
                 ? "noticed"
                 : sick
                     ? "sick"
-                    : suspect
+                    : suspect || now >= quietFrom
                         ? "silent"
                         : !acknowledged ? "unacknowledged" : !recorded ? "unrecorded" : "blocked";
   }
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -48,6 +48,11 @@
     return (long) (s.workers().leaseS() * 1000 * (1 + DRIFT)) + LAPSE_MARGIN_MS;
   }
 
+  /** The longest usual time between two reports of a machine. */
+  static long quietMs(Settings s) {
+    return (long) (1000 * (s.workers().reportS() * 1.25 + 0.8));
+  }
+
   /** Believes a report if it is the newest of its machine. */
   boolean apply(Machine m, Report r) {
     if (r.session() < m.session || (r.session() == m.session && r.seq() <= m.seq)) {
@@ -70,6 +75,7 @@
     }
     m.seq = r.seq();
     m.lastReportAt = calls.now();
+    m.quietFrom = calls.now() + quietMs(settings);
     m.suspect = false;
     boolean mine = r.token() == token;
     if (mine && !m.acknowledged) {
