Deletions leave the cloud's rate to hires while machines die in a row

Change: a deletion at most every 2.4 requests' time, with all machines found dead by then.

Ruled out: refusals, and slow detection, since deaths come over 20 s.

--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -30,6 +30,9 @@
 
   private static final long MOVE_EVERY_MS = 1_500;
 
+  /** Deletions take one in so many of the cloud's requests. */
+  private static final double DELETE_SHARE = 2.4;
+
   /** A kind that was refused is asked for again so soon after one of ours has ended. */
   private static final long FREED_MS = 2_000;
 
@@ -80,6 +83,7 @@
   private boolean listedOnce;
   private long hires;
   private int deletesInFlight;
+  private long nextDeleteAt;
   private long cloudTroubleUntil;
   private double peakArrayCpus;
   private long peakAt;
@@ -232,7 +236,7 @@
 
   private void delete() {
     long now = calls.now();
-    if (deletesInFlight >= 2) {
+    if (deletesInFlight >= 2 || now < nextDeleteAt) {
       return;
     }
     List<Machine> batch = new ArrayList<>();
@@ -245,6 +249,9 @@
       return;
     }
     deletesInFlight++;
+    // Machines that die one after another go together: else deletions alone would use up the
+    // cloud's rate, and no replacement could be hired until the last had died.
+    nextDeleteAt = now + (long) (1000 * DELETE_SHARE / settings.cloudLimits().rps());
     for (Machine m : batch) {
       m.deleteRetryAt = now + TIMEOUT_MS + 500;
     }
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -374,6 +374,12 @@
             wrong.add(line + ", but " + n);
           }
         }
+        case "cloud-most" -> {
+          int n = w.cloud.calls.getOrDefault(e[2], 0);
+          if (n > Integer.parseInt(e[3])) {
+            wrong.add(line + ", but " + n);
+          }
+        }
         case "keys" -> {
           if (w.state.count(e[2]) != Integer.parseInt(e[3])) {
             wrong.add(line + ", but " + w.state.count(e[2]));
--- a/src/test/java/org/snowturn/sim/StandInCloud.java
+++ b/src/test/java/org/snowturn/sim/StandInCloud.java
@@ -33,6 +33,7 @@
   final TreeMap<String, Rented> machines = new TreeMap<>();
   private final Map<String, List<String>> answered = new LinkedHashMap<>();
   private final Map<String, Integer> capacity = new HashMap<>();
+  final Map<String, Integer> calls = new HashMap<>();
   int perZone = 2;
   long bootMs = 4000;
   boolean outage;
@@ -45,6 +46,7 @@
   }
 
   void take(Effect.Call c, World.Reply back) {
+    calls.merge(c.path(), 1, Integer::sum);
     if (outage) {
       back.on(Outcome.REFUSED, 503, Json.object().put("error", "trouble"));
     } else if (c.path().equals("/catalog")) {
