--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -77,9 +77,6 @@
   int restarts;
   long backOffUntil;
 
-  /** Its turn among the waiting arrays, see {@link Turns}. */
-  int turn;
-
   /** Room is being made for waiting tasks, so none more is made until then. */
   long roomUntil = UNKNOWN;
 
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -504,11 +504,9 @@
   private void summary() {
     int pending = 0;
     int bound = 0;
-    int running = 0;
     for (Job j : ledger.jobs()) {
       pending += j.cancelled ? 0 : j.pending;
       bound += j.bound;
-      running += j.running;
     }
     int[] up = new int[2];
     int[] coming = new int[2];
@@ -529,12 +527,11 @@
     calls.note(
         String.format(
             java.util.Locale.ROOT,
-            "%d jobs, %d tasks wait, %d on machines, %d run; ordinary %d up, %d not, %.0f of %.0f cpus;"
+            "%d jobs, %d tasks wait, %d on machines; ordinary %d up, %d not, %.0f of %.0f cpus;"
                 + " spot %d up, %d not, %.0f of %.0f cpus; restarts %d; writes wait %d; not up %s",
             ledger.jobs().size(),
             pending,
             bound,
-            running,
             up[0],
             coming[0],
             used[0],
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -64,12 +64,12 @@
         waiting.add(j);
       }
     }
-    turns(usable).give(waiting.stream().filter(j -> !j.spec.service()).toList());
+    double wall = calls.wall();
     waiting.sort(
         Comparator.<Job>comparingInt(j -> j.spec.priority().ordinal())
             .thenComparingInt(j -> j.spec.service() ? 0 : 1)
-            .thenComparingInt(j -> j.turn)
-            .thenComparingDouble(Turns::within)
+            .thenComparingInt(j -> lateness(j, wall))
+            .thenComparingDouble(Placer::workLeft)
             .thenComparingLong(j -> j.submittedWall)
             .thenComparing(j -> j.spec.id()));
     boolean room = true;
@@ -103,20 +103,15 @@
     }
   }
 
-  private Turns turns(List<Machine> usable) {
-    double cpus = 0;
-    for (Machine m : usable) {
-      cpus += m.shape.cpus();
-    }
-    double boundWork = 0;
-    for (Job j : ledger.jobs()) {
-      if (j.spec.service()) {
-        cpus -= j.bound * j.spec.cpus();
-      } else {
-        boundWork += j.bound * j.spec.cpus() * Turns.taskS(j) / 2;
-      }
-    }
-    return new Turns(calls.wall(), cpus, boundWork);
+  /** 0: can still be in time; 1: within one and a half times; 2: late whatever is done now. */
+  private static int lateness(Job j, double wall) {
+    double end = wall + j.spec.estimateS() * 1000;
+    return end <= j.dueWall(1) ? 0 : end <= j.dueWall(1.5) ? 1 : 2;
+  }
+
+  /** Where not all can be in time, the most are if those with the least to do go first. */
+  private static double workLeft(Job j) {
+    return j.pending * j.spec.cpus() * Math.max(1, j.spec.estimateS());
   }
 
   private boolean placeJob(Job j, List<Machine> usable) {
