One statement of what makes a machine unusable; a machine knows its page

usable and whyNotUsable held the same conditions; the roll searched all pages for a machine; attempt numbers for gangs were drawn for every job.

--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -30,8 +30,8 @@
 
   private static final long MOVE_EVERY_MS = 1_500;
 
-  /** Deletions take one in so many of the cloud's requests. */
-  private static final double DELETE_SHARE = 2.4;
+  /** Between two deletions there is time for so many requests to the cloud. */
+  private static final double DELETE_EVERY = 2.4;
 
   /** A kind that was refused is asked for again so soon after one of ours has ended. */
   private static final long FREED_MS = 2_000;
@@ -251,7 +251,7 @@
     deletesInFlight++;
     // Machines that die one after another go together: else deletions alone would use up the
     // cloud's rate, and no replacement could be hired until the last had died.
-    nextDeleteAt = now + (long) (1000 * DELETE_SHARE / settings.cloudLimits().rps());
+    nextDeleteAt = now + (long) (1000 * DELETE_EVERY / settings.cloudLimits().rps());
     for (Machine m : batch) {
       m.deleteRetryAt = now + TIMEOUT_MS + 500;
     }
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -66,6 +66,9 @@
   /** Images that the machine should have, most recently used last, with their sizes. */
   final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
+  /** The page of the roll that it is on, or -1. */
+  int rollPage = -1;
+
   /** Whether the stored list of images is behind. */
   boolean imagesChanged;
 
@@ -134,32 +137,33 @@
 
   /** Whether new work may go there. */
   boolean usable(long now) {
-    return !gone
-        && !deleting
-        && !sick
-        && !returning
-        && !suspect
-        && acknowledged
-        && recorded
-        && shape != null
-        && takenAt == Long.MAX_VALUE
-        && now >= blockedUntil
-        && now < quietFrom;
+    return whyNotUsable(now) == null;
   }
 
-  /** Why no new work may go there, in a word for operators. */
+  /** Why no new work may go there, in a word for operators; null if it may. */
   String whyNotUsable(long now) {
-    return lastReportAt == Job.UNKNOWN
-        ? "unheard"
-        : deleting || returning
-            ? "leaving"
-            : takenAt != Long.MAX_VALUE
-                ? "noticed"
-                : sick
-                    ? "sick"
-                    : suspect || now >= quietFrom
-                        ? "silent"
-                        : !acknowledged ? "unacknowledged" : !recorded ? "unrecorded" : "blocked";
+    if (gone || deleting || returning) {
+      return "leaving";
+    }
+    if (lastReportAt == Job.UNKNOWN) {
+      return "unheard";
+    }
+    if (takenAt != Long.MAX_VALUE) {
+      return "noticed";
+    }
+    if (sick) {
+      return "sick";
+    }
+    if (suspect || now >= quietFrom) {
+      return "silent";
+    }
+    if (!acknowledged) {
+      return "unacknowledged";
+    }
+    if (!recorded) {
+      return "unrecorded";
+    }
+    return shape == null || now < blockedUntil ? "blocked" : null;
   }
 
   void touchImage(String image, double gb) {
--- a/src/main/java/org/snowturn/core/MachineRoll.java
+++ b/src/main/java/org/snowturn/core/MachineRoll.java
@@ -54,9 +54,8 @@
 
   private Page page(int number) {
     while (pages.size() <= number) {
-      List<Page> self = pages;
       int n = pages.size();
-      pages.add(new Page(writer.slot(Keys.ROLL + n, 0, () -> content(self.get(n)), () -> null)));
+      pages.add(new Page(writer.slot(Keys.ROLL + n, 0, () -> content(pages.get(n)), () -> null)));
     }
     return pages.get(number);
   }
@@ -97,22 +96,25 @@
 
   /** Writes a machine down; it may get tasks once that is durable. */
   void enter(Machine m, Runnable onDurable) {
-    Page p = pages.stream().filter(x -> x.machines.contains(m)).findFirst().orElse(null);
-    if (p == null) {
+    if (m.rollPage < 0) {
       int n = 0;
       while (page(n).machines.size() >= perPage) {
         n++;
       }
-      p = page(n);
-      p.machines.add(m);
+      put(m, n);
     }
-    writer.mark(p.slot, URGENCY, onDurable);
+    writer.mark(page(m.rollPage).slot, URGENCY, onDurable);
+  }
+
+  private void put(Machine m, int number) {
+    m.rollPage = number;
+    page(number).machines.add(m);
   }
 
   /** Takes over a stored page; {@code each} is told of every machine on it. */
   void load(StateMessage.Entry e, Consumer<Machine> each) {
-    Page p = page(Integer.parseInt(e.key().substring(Keys.ROLL.length())));
-    p.slot.stamp = e.stamp();
+    int number = Integer.parseInt(e.key().substring(Keys.ROLL.length()));
+    page(number).slot.stamp = e.stamp();
     for (JsonNode v : e.value().path("m")) {
       Machine m = machines.getOrCreate(v.path(0).asText());
       m.addr = v.path(1).asText(null);
@@ -123,7 +125,7 @@
         JsonNode image = e.value().path("i").path(n.asInt());
         m.touchImage(image.path(0).asText(), image.path(1).asDouble());
       }
-      p.machines.add(m);
+      put(m, number);
       each.accept(m);
     }
   }
@@ -131,22 +133,23 @@
   /** Strikes out the machines that are gone with all that was on them, and notes new images. */
   void sweep() {
     for (Page p : pages) {
-      boolean struck = false;
+      boolean changed = false;
       boolean images = false;
       for (Iterator<Machine> it = p.machines.iterator(); it.hasNext(); ) {
         Machine m = it.next();
         if (m.gone && m.bound.isEmpty()) {
           it.remove();
-          struck = true;
+          m.rollPage = -1;
+          changed = true;
         }
         images |= m.imagesChanged;
       }
       if (images && calls.now() - p.imagesAt > IMAGES_EVERY_MS) {
         p.imagesAt = calls.now();
         p.machines.forEach(m -> m.imagesChanged = false);
-        struck = true;
+        changed = true;
       }
-      if (struck) {
+      if (changed) {
         writer.mark(p.slot, Writer.CAN_WAIT, null);
       }
     }
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -134,7 +134,8 @@
       foundTooLarge(j.spec);
       return false;
     }
-    long attempt = ledger.newAttempt();
+    boolean gang = j.spec.kind() == JobSpec.Kind.GANG;
+    long together = gang ? ledger.newAttempt() : 0;
     while (j.pending > 0) {
       if (!ledger.quota().allows(j.spec)) {
         return true;
@@ -152,7 +153,7 @@
           && roomWithImage(j, usable)) {
         return true; // the task stopped for it ends within milliseconds, a fetch takes seconds
       }
-      ledger.bind(j, t, best, j.spec.kind() == JobSpec.Kind.GANG ? attempt : ledger.newAttempt());
+      ledger.bind(j, t, best, gang ? together : ledger.newAttempt());
       offer(candidates, j, best);
     }
     return true;
