--- a/src/main/java/org/snowturn/config/Settings.java
+++ b/src/main/java/org/snowturn/config/Settings.java
@@ -3,7 +3,12 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 
-/** The platform's settings of one controller, checked. */
+/**
+ * The platform's settings of one controller, checked.
+ *
+ * @param nextStateLimits what the state service's limits will be from some unknown moment on; the
+ *     same as now if nothing is to change
+ */
 public record Settings(
     String node,
     String zone,
@@ -17,6 +22,7 @@
     List<Objective> objectives,
     Workers workers,
     StateLimits stateLimits,
+    StateLimits nextStateLimits,
     CloudLimits cloudLimits,
     int maxConnections) {
 
@@ -34,7 +40,21 @@
   public record Workers(double reportS, double leaseS, double cancelS) {}
 
   /** The state service's limits. */
-  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {
+    /** Of each limit the smaller one. */
+    public StateLimits least(StateLimits o) {
+      return new StateLimits(
+          Math.min(rps, o.rps),
+          Math.min(writeRps, o.writeRps),
+          Math.min(valueKb, o.valueKb),
+          Math.min(txnOps, o.txnOps));
+    }
+
+    /** How long a value may be. */
+    public int valueBytes() {
+      return (int) (valueKb * 1024);
+    }
+  }
 
   /** The cloud's limits. */
   public record CloudLimits(double rps, double listLagS) {}
--- a/src/main/java/org/snowturn/config/SettingsReader.java
+++ b/src/main/java/org/snowturn/config/SettingsReader.java
@@ -84,6 +84,7 @@
     String inWorkers = "deployment.workers.";
     String inState = "deployment.state.";
     String inCloud = "deployment.cloud.";
+    Settings.StateLimits limits = limits(s, inState, null);
     Settings.Workers workers =
         new Settings.Workers(
             positive(w, "report_s", inWorkers),
@@ -104,16 +105,23 @@
         List.copyOf(teams),
         List.copyOf(objectives),
         workers,
-        new Settings.StateLimits(
-            positive(s, "rps", inState),
-            positive(s, "write_rps", inState),
-            positive(s, "value_kb", inState),
-            (int) number(s, "txn_ops", inState, 2, null)),
+        limits,
+        s.has("next") ? limits(table(s, "next", inState), inState + "next.", limits) : limits,
         new Settings.CloudLimits(
             positive(c, "rps", inCloud), number(c, "list_lag_s", inCloud, 0, null)),
         (int) number(dep.path("machine_limits"), "max_connections", "machine_limits.", 16, 1024.0));
   }
 
+  /** Limits of the state service; what a later table leaves out stays as it is now. */
+  private Settings.StateLimits limits(JsonNode s, String at, Settings.StateLimits now)
+      throws SettingsException {
+    return new Settings.StateLimits(
+        now != null && !s.has("rps") ? now.rps() : positive(s, "rps", at),
+        now != null && !s.has("write_rps") ? now.writeRps() : positive(s, "write_rps", at),
+        now != null && !s.has("value_kb") ? now.valueKb() : positive(s, "value_kb", at),
+        (int) number(s, "txn_ops", at, 2, now == null ? null : (double) now.txnOps()));
+  }
+
   private JsonNode table(JsonNode in, String name, String at) throws SettingsException {
     JsonNode n = in.path(name);
     if (!n.isObject()) {
--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -1,5 +1,6 @@
 package org.snowturn.core;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.snowturn.config.Settings;
@@ -15,6 +16,7 @@
   private final Settings settings;
   private final Tunables tunables;
   private final Catalog catalog;
+  private final FormatGate gate;
   private final UserDesk desk;
   private final Election election;
   private Leader leader;
@@ -29,7 +31,8 @@
     this.tunables = tunables;
     catalog = new Catalog(calls);
     election = new Election(settings, tunables, calls, incarnation);
-    desk = new UserDesk(settings, calls, catalog, election::stateHealthy);
+    gate = new FormatGate(settings, calls);
+    desk = new UserDesk(settings, calls, catalog, gate, incarnation, election::stateHealthy);
   }
 
   /** Takes one input and returns what is to be done. */
@@ -69,12 +72,18 @@
 
   /** Figures for operators. */
   public Map<String, Double> gauges() {
-    return leader == null ? Map.of() : leader.gauges();
+    Map<String, Double> g = new HashMap<>();
+    g.put("snowturn.format.gate", gate.open() ? 1.0 : 0.0);
+    if (leader != null) {
+      g.putAll(leader.gauges());
+    }
+    return g;
   }
 
   private void tick() {
     catalog.tick();
     election.tick();
+    gate.tick();
     follow();
     if (leader != null) {
       leader.tick();
@@ -88,7 +97,7 @@
       leader = null;
     }
     if (leader == null && election.leading()) {
-      leader = new Leader(calls, settings, tunables, election, catalog, desk);
+      leader = new Leader(calls, settings, tunables, election, catalog, gate, desk);
     }
   }
 
--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -326,7 +326,7 @@
     }
     double cpus = 0;
     for (Job j : ledger.jobs()) {
-      if (!j.cancelled && j.spec.spot() == spot) {
+      if (!j.cancelled && !j.waits() && j.spec.spot() == spot) {
         JobSpec s = j.spec;
         double each = Math.max(s.cpus(), ratio > 0 ? s.memoryGb() / ratio : 0);
         cpus += each * (j.state.length - j.done);
@@ -372,7 +372,7 @@
     }
     double work = 0;
     for (Job j : ledger.jobs()) {
-      if (!j.cancelled && j.spec.spot()) {
+      if (j.wantsRoom() && j.spec.spot()) {
         work += j.pending * j.spec.cpus() * Math.max(1, j.spec.estimateS());
       }
     }
@@ -581,7 +581,7 @@
 
   private boolean arraysWait() {
     for (Job j : ledger.jobs()) {
-      if (!j.cancelled && j.pending > 0 && !j.spec.service()) {
+      if (j.wantsRoom() && !j.spec.service()) {
         return true;
       }
     }
--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -1,14 +1,17 @@
 package org.snowturn.core;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Base64;
 import java.util.BitSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
 import org.agrona.collections.Int2IntHashMap;
 import org.snowturn.wire.JobSpec;
-import org.snowturn.wire.Json;
+import org.snowturn.wire.JobView;
+import org.snowturn.wire.Priority;
 
 /**
  * A live job as the leader sees it: dense arrays over its tasks, so that 100,000 tasks fit.
@@ -38,7 +41,6 @@
   final int index;
   final JobSpec spec;
   final long submittedWall;
-  final int chunkSize;
   final byte[] state;
   final int[] machine;
   final long[] attempt;
@@ -60,13 +62,46 @@
   /** The machine that a restarted task must not go back to. */
   final Int2IntHashMap avoid = new Int2IntHashMap(-1);
 
-  final Writer.Slot[] chunks;
+  /** Which tasks share a record, and the records; another format's are kept until the end. */
+  TaskLayout layout;
+
+  boolean secondFormat;
+  Writer.Slot[] chunks;
+  final List<Writer.Slot> olderChunks = new ArrayList<>();
+
+  /** What the placements of each record take of its value, and what they may; second format. */
+  private int[] recordBytes;
+
+  private int recordRoom = Integer.MAX_VALUE;
+
+  /** The most that one placement took so far. */
+  private int entryBytes;
+
   final Samples runTimes = new Samples();
   final int[] boundInZone;
 
   /** How many tasks of a service may be on each machine. */
   private final Int2IntHashMap onMachine = new Int2IntHashMap(0);
 
+  /** The jobs that it awaits and that are not known to be durably done. */
+  final Set<String> unmet;
+
+  /** Names the parts of a record that is longer than a value, or null. */
+  String submission;
+
+  int parts;
+
+  /** The highest priority of the job itself and of all that need it. */
+  Priority priority;
+
+  /** What those that need it leave of their deadlines, and of one and a half times those. */
+  double inheritedDue = Double.MAX_VALUE;
+
+  double inheritedLateDue = Double.MAX_VALUE;
+
+  /** When the last job that it needs was done; from then on its times count. */
+  long releasedWall;
+
   long stamp;
   boolean cancelled;
   boolean finishing;
@@ -90,11 +125,13 @@
 
   private int cursor;
 
-  Job(int index, JobSpec spec, long submittedWall, int chunkSize, int zones) {
+  Job(int index, JobSpec spec, long submittedWall, int zones) {
     this.index = index;
     this.spec = spec;
     this.submittedWall = submittedWall;
-    this.chunkSize = chunkSize;
+    this.releasedWall = submittedWall;
+    this.priority = spec.priority();
+    this.unmet = spec.awaits().isEmpty() ? Set.of() : new LinkedHashSet<>(spec.awaits());
     int n = spec.tasks();
     state = new byte[n];
     machine = new int[n];
@@ -102,17 +139,58 @@
     session = new long[n];
     since = new long[n];
     Arrays.fill(machine, -1);
-    chunks = new Writer.Slot[(n + chunkSize - 1) / chunkSize];
     boundInZone = new int[zones];
     pending = n;
   }
 
-  static long ref(int job, int task) {
-    return ((long) job << 32) | task;
+  /** Starts with records of the first format, as the version in production writes them. */
+  void useFirstFormat(int span) {
+    layout = TaskLayout.first(state.length, span);
+    chunks = new Writer.Slot[layout.records()];
+  }
+
+  /** Goes on with records of the second format; those of the first stay until the job is over. */
+  void useSecondFormat(FormatGate.Spans spans, int valueBytes, MachineBook machines) {
+    if (chunks != null) {
+      Arrays.stream(chunks).filter(Objects::nonNull).forEach(olderChunks::add);
+    }
+    secondFormat = true;
+    layout = TaskLayout.second(state.length, spans);
+    chunks = new Writer.Slot[layout.records()];
+    recordBytes = new int[layout.records()];
+    recordRoom = TaskRecords.room(valueBytes, layout.piece());
+    for (int t = 0; t < state.length; t++) {
+      if (isBound(t)) {
+        countInRecord(t, machines.get(machine[t]), 1);
+      }
+    }
+  }
+
+  /** Keeps account of how full the records are, so that no placement makes one too long. */
+  void countInRecord(int task, Machine m, int sign) {
+    if (secondFormat) {
+      int bytes = TaskRecords.bytes(m);
+      entryBytes = Math.max(entryBytes, bytes);
+      recordBytes[layout.recordOf(task)] += sign * bytes;
+    }
+  }
+
+  private boolean recordHasRoom(int task) {
+    return !secondFormat || recordBytes[layout.recordOf(task)] + entryBytes <= recordRoom;
+  }
+
+  /** Whether it still waits for other jobs, and so has no part in anything yet. */
+  boolean waits() {
+    return !unmet.isEmpty();
   }
 
-  int chunkOf(int task) {
-    return task / chunkSize;
+  /** Whether it has tasks that could be placed now, room and quota aside. */
+  boolean wantsRoom() {
+    return pending > 0 && !cancelled && !waits();
+  }
+
+  static long ref(int job, int task) {
+    return ((long) job << 32) | task;
   }
 
   /** Changes a task's state, and the count of running tasks with it. */
@@ -153,14 +231,14 @@
         && now - since[task] > SETTLED_MS;
   }
 
-  /** A pending task, or -1. */
+  /** A pending task whose record can take its placement, or -1. */
   int nextPending() {
     if (pending == 0) {
       return -1;
     }
     for (int i = 0; i < state.length; i++) {
       int t = cursor + i < state.length ? cursor + i : cursor + i - state.length;
-      if (state[t] == PENDING) {
+      if (state[t] == PENDING && recordHasRoom(t)) {
         cursor = t;
         return t;
       }
@@ -172,28 +250,25 @@
     return runTimes.median();
   }
 
-  /** The wall-clock time of the deadline, or a far time. */
+  /** The wall-clock time by which it has to be done, or a far time. */
   double dueWall(double times) {
-    return Double.isNaN(spec.deadlineS())
-        ? Double.MAX_VALUE
-        : submittedWall + spec.deadlineS() * 1000 * times;
+    double own =
+        Double.isNaN(spec.deadlineS())
+            ? Double.MAX_VALUE
+            : submittedWall + spec.deadlineS() * 1000 * times;
+    return Math.min(own, times > 1 ? inheritedLateDue : inheritedDue);
   }
 
-  /** The stored form of a chunk: results as a bit set, and where each bound task was placed. */
+  /** The record that it has once it is cancelled, without what only its starts need. */
+  StoredJob cancelledRecord() {
+    return new StoredJob(
+        JobView.Phase.ABORTED, submittedWall, spec.withoutStart(), submission, parts, false);
+  }
+
+  /** The stored form of one of its records. */
   JsonNode chunkJson(int chunk, MachineBook machines) {
-    int from = chunk * chunkSize;
-    int to = Math.min(state.length, from + chunkSize);
-    BitSet finished = new BitSet();
-    ObjectNode o = Json.object().put("v", Keys.VERSION);
-    ArrayNode placed = o.putArray("p");
-    for (int t = from; t < to; t++) {
-      if (state[t] == DONE) {
-        finished.set(t - from);
-      } else if (isBound(t)) {
-        placed.addArray().add(t).add(attempt[t]).add(machines.get(machine[t]).id).add(session[t]);
-      }
-    }
-    o.put("d", Base64.getEncoder().encodeToString(finished.toByteArray()));
-    return o;
+    return secondFormat
+        ? TaskRecords.second(this, chunk, machines)
+        : TaskRecords.first(this, chunk, machines);
   }
 }
--- /dev/null
+++ b/src/main/java/org/snowturn/core/JobFinder.java
@@ -0,0 +1,167 @@
+package org.snowturn.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.snowturn.wire.JobView;
+import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.StateMessage;
+
+/**
+ * Reads what is stored of some jobs, live or over. A few are read one by one; many by ranges that
+ * begin at the next name wanted, so that neither thousands of names nor thousands of other jobs
+ * take thousands of requests. Records only move from live to over, so live ones are read first;
+ * only the leader, who moves them, may begin with the others, where most are that it does not know.
+ */
+final class JobFinder {
+  static final List<String> LIVE_FIRST = List.of(Keys.JOBS, Keys.OVER);
+  static final List<String> OVER_FIRST = List.of(Keys.OVER, Keys.JOBS);
+
+  private static final int ONE_BY_ONE = 12;
+  private static final int PAGE = 500;
+  private static final int TIMEOUT_MS = 1_500;
+
+  /** What a record tells: whether it is live, the job's phase, and whether it is a service. */
+  record Fact(boolean live, JobView.Phase phase, boolean service) {
+    private static Fact of(StateMessage.Entry e) {
+      boolean live = e.key().startsWith(Keys.JOBS);
+      return new Fact(live, StoredJob.phaseOf(e.value()), StoredJob.service(e.value()));
+    }
+  }
+
+  /** Takes what was found; all there is only if the state service told everything. */
+  interface Then {
+    void on(Map<String, Fact> found, boolean complete);
+  }
+
+  private final Calls calls;
+  private final List<String> order;
+  private final Map<String, Fact> found = new HashMap<>();
+  private final TreeSet<String> notHere = new TreeSet<>();
+  private final Then then;
+  private final long until;
+  private int open;
+  private boolean over;
+
+  /**
+   * Finds some jobs and hands over what is stored of each that was ever accepted, by its id.
+   *
+   * @param withinMs the time after which nobody wants to know any more
+   */
+  static void find(
+      Calls calls, List<String> order, Collection<String> ids, long withinMs, Then then) {
+    JobFinder f = new JobFinder(calls, order, calls.now() + withinMs, then);
+    if (ids.size() > ONE_BY_ONE) {
+      f.range(0, new TreeSet<>(ids));
+      return;
+    }
+    f.open = ids.size();
+    List.copyOf(ids).forEach(id -> f.one(0, id));
+    f.finishIfAllAnswered();
+  }
+
+  private JobFinder(Calls calls, List<String> order, long until, Then then) {
+    this.calls = calls;
+    this.order = order;
+    this.until = until;
+    this.then = then;
+  }
+
+  private void fail() {
+    if (!over) {
+      over = true;
+      then.on(found, false);
+    }
+  }
+
+  private void finishIfAllAnswered() {
+    if (open == 0 && !over) {
+      over = true;
+      then.on(found, true);
+    }
+  }
+
+  private void one(int place, String id) {
+    calls.state(
+        "GET",
+        "/kv/" + order.get(place) + id,
+        null,
+        TIMEOUT_MS,
+        (outcome, status, body) -> {
+          boolean absent = outcome == Outcome.ANSWERED && status == 404;
+          if (absent && place + 1 < order.size()) {
+            one(place + 1, id);
+            return;
+          }
+          try {
+            if (outcome == Outcome.ANSWERED && status == 200) {
+              found.put(id, Fact.of(StateMessage.entry(body)));
+            } else if (!absent) {
+              fail();
+            }
+          } catch (MalformedException e) {
+            fail();
+          }
+          open--;
+          finishIfAllAnswered();
+        });
+  }
+
+  private void range(int place, TreeSet<String> wanted) {
+    if (wanted.isEmpty()) {
+      finishIfAllAnswered();
+      return;
+    }
+    if (calls.now() > until) {
+      fail();
+      return;
+    }
+    // An id ends in a digit: whatever sorts before it begins with a smaller one there.
+    String prefix = order.get(place);
+    String next = prefix + wanted.first();
+    int end = next.length() - 1;
+    String since = next.substring(0, end) + (char) (next.charAt(end) - 1) + "~";
+    calls.state(
+        "GET",
+        "/kv?prefix=" + prefix + "&since=" + since + "&most=" + PAGE,
+        null,
+        TIMEOUT_MS,
+        (outcome, status, body) -> {
+          if (outcome != Outcome.ANSWERED || status != 200) {
+            fail();
+            return;
+          }
+          try {
+            take(place, wanted, StateMessage.entries(body), StateMessage.more(body));
+          } catch (MalformedException e) {
+            fail();
+          }
+        });
+  }
+
+  private void take(
+      int place, TreeSet<String> wanted, List<StateMessage.Entry> page, boolean more) {
+    String last = null;
+    for (StateMessage.Entry e : page) {
+      last = e.key().substring(order.get(place).length());
+      if (wanted.contains(last)) {
+        found.put(last, Fact.of(e));
+      }
+    }
+    TreeSet<String> left =
+        more && last != null ? new TreeSet<>(wanted.tailSet(last, false)) : new TreeSet<>();
+    List<String> missing = new ArrayList<>(wanted);
+    missing.removeIf(id -> found.containsKey(id) || left.contains(id));
+    notHere.addAll(missing);
+    if (left.isEmpty() && place + 1 < order.size()) {
+      TreeSet<String> rest = new TreeSet<>(notHere);
+      notHere.clear();
+      range(place + 1, rest);
+    } else {
+      range(place, left);
+    }
+  }
+}
--- a/src/main/java/org/snowturn/core/Keys.java
+++ b/src/main/java/org/snowturn/core/Keys.java
@@ -14,6 +14,15 @@
   static final String RESTARTS = "s/";
   static final int VERSION = 1;
 
+  /** Since the second format; the version before reads none of these prefixes. */
+  static final int SECOND = 2;
+
+  static final String FORMAT = "f/";
+  static final String READERS = "f/n/";
+  static final String GATE = "f/gate";
+  static final String TASKS2 = "p/";
+  static final String PARTS = "x/";
+
   private Keys() {}
 
   static String job(String id) {
@@ -28,7 +37,16 @@
     return TASKS + id + "/" + chunk;
   }
 
+  static String tasks2(String id, int chunk) {
+    return TASKS2 + id + "/" + chunk;
+  }
+
   static String restarts(String id) {
     return RESTARTS + id;
   }
+
+  /** All parts of one submission of a job whose record is too long for a value. */
+  static String parts(String id, String submission) {
+    return PARTS + id + "/" + submission + "/";
+  }
 }
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -3,9 +3,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.wire.Command;
@@ -40,9 +43,13 @@
   private final Fleet fleet;
   private final DarkZones darkZones;
   private final MachineRoll roll;
+  private final FormatGate gate;
+  private final JobGraph graph;
   private final Map<String, PeerRecord.Progress> told = new HashMap<>();
   private final ArrayDeque<Outbox> toSend = new ArrayDeque<>();
   private List<StateMessage.Entry> loadedJobs = List.of();
+  private List<StateMessage.Entry> loadedParts = List.of();
+  private boolean secondFormat;
   private long outboxLooks;
   private boolean loaded;
   private boolean watching;
@@ -60,8 +67,10 @@
       Tunables tunables,
       Election election,
       Catalog catalog,
+      FormatGate gate,
       UserDesk desk) {
     this.calls = calls;
+    this.gate = gate;
     this.settings = settings;
     this.tunables = tunables;
     this.election = election;
@@ -71,12 +80,14 @@
     this.startedAt = calls.now();
     FleetPolicy policy = FleetPolicy.of(settings);
     machines = new MachineBook(settings.zones(), m -> new Outbox(calls, this, m));
-    writer = new Writer(calls, this, settings.stateLimits());
-    ledger = new Ledger(calls, settings, writer, machines, new Quota(settings.teams()), token);
-    roll = new MachineRoll(calls, writer, machines, settings.stateLimits().valueKb());
+    writer = new Writer(calls, this, gate::limits);
+    ledger = new Ledger(calls, gate, writer, machines, new Quota(settings.teams()), token);
+    graph = new JobGraph(calls, gate, ledger, writer);
+    ledger.listen(graph);
+    roll = new MachineRoll(calls, writer, machines, gate);
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
     placer = new Placer(calls, settings, ledger, machines, policy);
-    speculator = new Speculator(calls, tunables, ledger, machines, placer, writer);
+    speculator = new Speculator(calls, tunables, ledger, machines, placer, writer, gate);
     darkZones = new DarkZones(machines.zoneCount());
     fleet =
         new Fleet(
@@ -114,8 +125,9 @@
     }
   }
 
-  boolean loaded() {
-    return loaded;
+  @Override
+  public void notTaken(String key) {
+    ledger.notRecorded(key);
   }
 
   Map<String, Double> gauges() {
@@ -123,9 +135,10 @@
     int pending = 0;
     int bound = 0;
     for (Job j : ledger.jobs()) {
-      pending += j.pending;
+      pending += j.wantsRoom() ? j.pending : 0;
       bound += j.bound;
     }
+    g.put("snowturn.jobs.awaiting", (double) graph.waitingJobs());
     g.put("snowturn.jobs.live", (double) ledger.jobs().size());
     g.put("snowturn.tasks.waiting", (double) pending);
     g.put("snowturn.tasks.bound", (double) bound);
@@ -141,20 +154,38 @@
   // --- reading what earlier leaders left ---
 
   private void load() {
-    Loader loader = new Loader(calls);
-    loader.read(
-        Keys.ROLL,
-        ms -> {
-          if (ended) {
-            return;
-          }
-          ms.entries().forEach(e -> roll.load(e, this::loaded));
-          loader.read(
+    // First of all the gate: it tells in which format the records are that are to be written.
+    gate.look(() -> read(Keys.ROLL, ms -> loadRoll(ms)));
+  }
+
+  private void read(String prefix, Consumer<Loader.Range> then) {
+    new Loader(calls)
+        .read(
+            prefix,
+            range -> {
+              if (!ended) {
+                then.accept(range);
+              }
+            });
+  }
+
+  private void loadRoll(Loader.Range pages) {
+    pages.entries().forEach(e -> roll.load(e, this::loaded));
+    read(
+        Keys.PARTS,
+        parts -> {
+          loadedParts = parts.entries();
+          read(
               Keys.JOBS,
               js -> {
                 watchFrom = js.epoch();
                 loadedJobs = js.entries();
-                loader.read(Keys.TASKS, ts -> loader.read(Keys.RESTARTS, ss -> loaded(ts, ss)));
+                read(
+                    Keys.TASKS2,
+                    newer ->
+                        read(
+                            Keys.TASKS,
+                            older -> read(Keys.RESTARTS, ss -> loaded(newer, older, ss))));
               });
         });
   }
@@ -167,29 +198,15 @@
     m.recorded = true;
   }
 
-  private void loaded(Loader.Range tasks, Loader.Range restarts) {
-    if (ended) {
-      return;
-    }
-    for (StateMessage.Entry e : loadedJobs) {
-      onJobRecord(e);
-    }
-    loadedJobs = List.of();
+  private void loaded(Loader.Range newer, Loader.Range older, Loader.Range restarts) {
+    loadJobs();
     List<StateMessage.Change> orphans = new ArrayList<>();
-    for (StateMessage.Entry e : tasks.entries()) {
-      String rest = e.key().substring(Keys.TASKS.length());
-      int slash = rest.lastIndexOf('/');
-      Job j = ledger.job(rest.substring(0, slash));
-      if (j == null) {
-        orphans.add(StateMessage.Change.delete(e.key()));
-      } else {
-        ledger.loadChunk(j, Integer.parseInt(rest.substring(slash + 1)), e.value(), e.stamp());
-      }
-    }
+    loadTasks(newer, Keys.TASKS2, orphans);
+    loadTasks(older, Keys.TASKS, orphans);
     for (StateMessage.Entry e : restarts.entries()) {
       Job j = ledger.job(e.key().substring(Keys.RESTARTS.length()));
       if (j != null) {
-        ledger.loadRestarts(j, e.value());
+        RestartRecords.load(j, e.value());
         speculator.loaded(j, e.stamp());
       }
     }
@@ -228,6 +245,46 @@
     ledger.retryFinishing();
   }
 
+  private void loadJobs() {
+    Map<String, String> texts = StoredJob.texts(loadedParts);
+    Set<String> used = new HashSet<>();
+    for (StateMessage.Entry e : loadedJobs) {
+      try {
+        String id = e.key().substring(Keys.JOBS.length());
+        StoredJob stored = StoredJob.parse(e.value());
+        List<String> parts = StoredJob.partKeys(id, stored.submission(), stored.parts());
+        used.addAll(parts);
+        if (stored.incomplete() && texts.keySet().containsAll(parts)) {
+          ledger.recordWith(id, stored, e.stamp(), texts);
+        } else {
+          ledger.record(id, stored, e.stamp());
+        }
+      } catch (MalformedException ex) {
+        calls.note("unusable record " + e.key() + ": " + ex.getMessage());
+      }
+    }
+    ledger.dropUnusedParts(loadedParts, used);
+    loadedJobs = List.of();
+    loadedParts = List.of();
+  }
+
+  private void loadTasks(Loader.Range range, String prefix, List<StateMessage.Change> orphans) {
+    boolean older = gate.open() && prefix.equals(Keys.TASKS);
+    for (StateMessage.Entry e : range.entries()) {
+      String rest = e.key().substring(prefix.length());
+      int slash = rest.lastIndexOf('/');
+      Job j = ledger.job(rest.substring(0, slash));
+      int chunk = Integer.parseInt(rest.substring(slash + 1));
+      if (j == null) {
+        orphans.add(StateMessage.Change.delete(e.key()));
+      } else if (older) {
+        ledger.loadOlderChunk(j, chunk, e.value(), e.stamp());
+      } else {
+        ledger.loadChunk(j, chunk, e.value(), e.stamp());
+      }
+    }
+  }
+
   private void onJobRecord(StateMessage.Entry e) {
     String id = e.key().substring(Keys.JOBS.length());
     if (e.value() == null) {
@@ -272,6 +329,7 @@
           try {
             StateMessage.events(body).forEach(this::onJobRecord);
             watchFrom = Math.max(watchFrom, StateMessage.epoch(body));
+            graph.step();
             ledger.retryFinishing();
           } catch (MalformedException e) {
             watchRetryAt = calls.now() + 200;
@@ -292,6 +350,7 @@
               watching = false;
               watchFrom = js.epoch();
               js.entries().forEach(this::onJobRecord);
+              graph.step();
             });
   }
 
@@ -465,11 +524,15 @@
     }
     if (now >= sweepAt) {
       sweepAt = now + SWEEP_MS;
+      if (gate.open() && !secondFormat) {
+        secondFormat = !ledger.useSecondFormat();
+      }
       sweep();
       fleet.tick();
       ledger.somethingChanged();
       ledger.retryFinishing();
     }
+    graph.step();
     if (catalog.known() && ledger.takeChanged()) {
       boolean room = placer.plan();
       if (room && now >= specAt) {
@@ -493,6 +556,9 @@
     if (ended) {
       return;
     }
+    if (loaded) {
+      graph.step();
+    }
     writer.flush();
     for (int n = toSend.size(); n > 0 && hasAuthority(); n--) {
       outboxLooks++;
@@ -505,7 +571,7 @@
     int pending = 0;
     int bound = 0;
     for (Job j : ledger.jobs()) {
-      pending += j.cancelled ? 0 : j.pending;
+      pending += j.wantsRoom() ? j.pending : 0;
       bound += j.bound;
     }
     int[] up = new int[2];
@@ -527,9 +593,10 @@
     calls.note(
         String.format(
             java.util.Locale.ROOT,
-            "%d jobs, %d tasks wait, %d on machines; ordinary %d up, %d not, %.0f of %.0f cpus;"
+            "%d jobs, %d await others, %d tasks wait, %d on machines; ordinary %d up, %d not, %.0f of %.0f cpus;"
                 + " spot %d up, %d not, %.0f of %.0f cpus; restarts %d; writes wait %d; not up %s",
             ledger.jobs().size(),
+            graph.waitingJobs(),
             pending,
             bound,
             up[0],
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -2,18 +2,19 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
-import java.util.Base64;
-import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import org.snowturn.config.Settings;
+import java.util.Set;
+import java.util.function.IntPredicate;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.JobView;
-import org.snowturn.wire.Json;
+import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Priority;
+import org.snowturn.wire.StateMessage;
 import org.snowturn.wire.StateMessage.Change;
 import org.snowturn.wire.StateMessage.Condition;
 
@@ -22,34 +23,55 @@
  * room, quota, zones and records always agree.
  */
 final class Ledger {
+  /** An attempt's number is its leader's token, shifted by so many bits, and a count. */
+  static final int ATTEMPT_BITS = 20;
+
+  private static final long NOT_RECORDED_MS = 20_000;
+
+  /** Who wants to know how jobs come and go. */
+  interface Listener {
+    void joined(Job j);
+
+    void cancelled(Job j);
+
+    /**
+     * The job's record is no longer live; {@code phase} is null where that is all that is known.
+     */
+    void over(Job j, JobView.Phase phase);
+  }
+
   private final Calls calls;
-  private final Settings settings;
+  private final FormatGate gate;
   private final Writer writer;
   private final MachineBook machines;
   private final Quota quota;
   private final long token;
   private final Map<String, Job> jobs = new HashMap<>();
   private final List<Job> byIndex = new ArrayList<>();
+
+  /** Records whose parts are being read, with their versions. */
+  private final Map<String, Long> partsWanted = new HashMap<>();
+
   private long attempts;
   private long placements;
   private final int[] boundBy = new int[Priority.values().length];
   private boolean changed = true;
+  private Listener listener;
 
   Ledger(
-      Calls calls,
-      Settings settings,
-      Writer writer,
-      MachineBook machines,
-      Quota quota,
-      long token) {
+      Calls calls, FormatGate gate, Writer writer, MachineBook machines, Quota quota, long token) {
     this.calls = calls;
-    this.settings = settings;
+    this.gate = gate;
     this.writer = writer;
     this.machines = machines;
     this.quota = quota;
     this.token = token;
   }
 
+  void listen(Listener l) {
+    listener = l;
+  }
+
   Collection<Job> jobs() {
     return jobs.values();
   }
@@ -82,22 +104,92 @@
   }
 
   /** Adds a job or takes over a newer version of its record. */
-  Job record(String id, StoredJob stored, long stamp) {
+  void record(String id, StoredJob stored, long stamp) {
     Job j = jobs.get(id);
+    if (j == null && stored.incomplete()) {
+      readParts(id, stored, stamp);
+      return;
+    }
     if (j == null) {
-      // 80 bytes hold one placement in a chunk's record, whatever the machine's name.
-      int chunk = Math.max(8, (int) (settings.stateLimits().valueKb() * 1024 / 80));
+      partsWanted.remove(id);
       int zones = Math.max(machines.zoneCount(), 1);
-      j = new Job(byIndex.size(), stored.spec(), stored.submittedWall(), chunk, zones);
+      j = new Job(byIndex.size(), stored.spec(), stored.submittedWall(), zones);
+      j.submission = stored.submission();
+      j.parts = stored.parts();
+      if (gate.open()) {
+        j.useSecondFormat(gate.spans(), gate.limits().valueBytes(), machines);
+      } else {
+        j.useFirstFormat(gate.spans().first());
+      }
       byIndex.add(j);
       jobs.put(id, j);
       changed = true;
+      listener.joined(j);
     }
     j.stamp = Math.max(j.stamp, stamp);
     if (stored.phase() == JobView.Phase.ABORTED && !j.cancelled) {
       cancel(j);
     }
-    return j;
+  }
+
+  /** Without its parts the job would seem to await nothing. */
+  private void readParts(String id, StoredJob stored, long stamp) {
+    if (partsWanted.getOrDefault(id, 0L) >= stamp) {
+      return;
+    }
+    partsWanted.put(id, stamp);
+    new Loader(calls)
+        .read(
+            Keys.parts(id, stored.submission()),
+            range -> {
+              // Not if it has been cancelled or has ended meanwhile.
+              if (partsWanted.remove(id, stamp)) {
+                recordWith(id, stored, stamp, StoredJob.texts(range.entries()));
+              }
+            });
+  }
+
+  /**
+   * Removes parts of submissions that were never accepted. The first part goes first: a late
+   * transaction that would still accept one names that part's version, and fails from then on.
+   */
+  void dropUnusedParts(List<StateMessage.Entry> parts, Set<String> used) {
+    Map<String, List<StateMessage.Entry>> bySubmission = new LinkedHashMap<>();
+    for (StateMessage.Entry e : parts) {
+      if (!used.contains(e.key())) {
+        String name = e.key().substring(0, e.key().lastIndexOf('/') + 1);
+        bySubmission.computeIfAbsent(name, n -> new ArrayList<>()).add(e);
+      }
+    }
+    bySubmission.forEach(
+        (name, entries) -> {
+          String id = name.substring(Keys.PARTS.length(), name.indexOf('/', Keys.PARTS.length()));
+          List<Change> drops = entries.stream().map(e -> Change.delete(e.key())).toList();
+          List<Condition> when = new ArrayList<>(List.of(new Condition(Keys.job(id), 0)));
+          for (StateMessage.Entry e : entries) {
+            if (e.key().equals(name + "0")) {
+              when.add(new Condition(e.key(), e.stamp()));
+            }
+          }
+          writer.whole(
+              Writer.Turn.SPARE,
+              when,
+              List.of(Change.delete(name + "0")),
+              (outcome, status, body) -> {
+                if (outcome == Outcome.ANSWERED && status == 200) {
+                  dropLater(drops);
+                }
+              });
+        });
+  }
+
+  /** Takes in a record whose parts have been read. */
+  void recordWith(String id, StoredJob stored, long stamp, Map<String, String> parts) {
+    try {
+      record(id, stored.withParts(id, parts), stamp);
+    } catch (MalformedException e) {
+      calls.note("unusable parts of " + id + ": " + e.getMessage());
+    }
   }
 
   private void cancel(Job j) {
@@ -111,14 +203,20 @@
       }
     }
     changed = true;
+    listener.cancelled(j);
   }
 
   /** The record is no longer live: nothing of the job is left to do. */
   void remove(String id) {
+    partsWanted.remove(id);
     Job j = jobs.remove(id);
     if (j == null) {
       return;
     }
+    // Only a leader moves a record, under its version as we last read it: what we were about to
+    // write is what it became.
+    listener.over(
+        j, !j.finishing ? null : j.cancelled ? JobView.Phase.ABORTED : JobView.Phase.DONE);
     for (int t = 0; t < j.state.length; t++) {
       if (j.isBound(t)) {
         release(j, t);
@@ -129,58 +227,132 @@
         writer.forget(s);
       }
     }
+    j.olderChunks.forEach(writer::forget);
     byIndex.set(j.index, null);
     changed = true;
   }
 
   Writer.Slot chunk(Job j, int chunk) {
     if (j.chunks[chunk] == null) {
+      String id = j.spec.id();
       j.chunks[chunk] =
           writer.slot(
-              Keys.tasks(j.spec.id(), chunk),
+              j.secondFormat ? Keys.tasks2(id, chunk) : Keys.tasks(id, chunk),
               0,
               () -> j.chunkJson(chunk, machines),
-              () -> new Condition(Keys.job(j.spec.id()), j.stamp));
+              () -> new Condition(Keys.job(id), j.stamp));
     }
     return j.chunks[chunk];
   }
 
-  /** Takes over a stored chunk: results, and tasks that an earlier leader bound. */
+  /** Takes over a stored record of tasks: results, and tasks that an earlier leader bound. */
   void loadChunk(Job j, int chunk, JsonNode value, long stamp) {
     if (chunk < 0 || chunk >= j.chunks.length) {
       return;
     }
     chunk(j, chunk).stamp = stamp;
-    BitSet finished = BitSet.valueOf(Base64.getDecoder().decode(value.path("d").asText("")));
-    int from = chunk * j.chunkSize;
-    finished.stream()
-        .map(i -> from + i)
-        .filter(t -> t < j.state.length && j.state[t] == Job.PENDING)
-        .forEach(
-            t -> {
+    load(j, value, j.layout.from(chunk), t -> true);
+  }
+
+  /**
+   * Takes over a record of the first format after the gate has opened. It tells of the tasks that
+   * no record of the second format tells of: those are newer, since nobody writes the first any
+   * more.
+   */
+  void loadOlderChunk(Job j, int chunk, JsonNode value, long stamp) {
+    Writer.Slot s = writer.slot(Keys.tasks(j.spec.id(), chunk), stamp, () -> null, () -> null);
+    j.olderChunks.add(s);
+    load(
+        j,
+        value,
+        chunk * gate.spans().first(),
+        t -> {
+          Writer.Slot newer = j.chunks[j.layout.recordOf(t)];
+          return newer == null || newer.stamp == 0;
+        });
+  }
+
+  private void load(Job j, JsonNode value, int from, IntPredicate tellsOf) {
+    TaskRecords.read(
+        value,
+        from,
+        new TaskRecords.Reader() {
+          private boolean isNews(int t) {
+            return t >= 0 && t < j.state.length && j.state[t] == Job.PENDING && tellsOf.test(t);
+          }
+
+          @Override
+          public void done(int t) {
+            if (isNews(t)) {
               j.enter(t, Job.DONE);
               j.pending--;
               j.done++;
-            });
-    for (JsonNode p : value.path("p")) {
-      int t = p.path(0).asInt(-1);
-      if (t < 0 || t >= j.state.length || j.state[t] != Job.PENDING) {
+            }
+          }
+
+          @Override
+          public void placed(int t, long attempt, String machine, long session) {
+            if (isNews(t)) {
+              Machine m = machines.getOrCreate(machine);
+              // An earlier leader may have answered it until now, whether or not it is on the roll.
+              m.lastAnswerAt = Math.max(m.lastAnswerAt, calls.now());
+              take(j, t, m, attempt, session);
+              j.enter(t, Job.STARTING);
+              j.inherited.set(t);
+              m.inherited++;
+              m.touchImage(j.spec.image(), j.spec.imageGb());
+            }
+          }
+        });
+  }
+
+  /**
+   * Goes on in the second format with the jobs whose records of the first are settled; tells
+   * whether some are left.
+   */
+  boolean useSecondFormat() {
+    boolean left = false;
+    for (Job j : jobs.values()) {
+      if (j.secondFormat) {
         continue;
       }
-      Machine m = machines.getOrCreate(p.path(2).asText());
-      // An earlier leader may have answered it until now, whether or not it is on the roll.
-      m.lastAnswerAt = Math.max(m.lastAnswerAt, calls.now());
-      take(j, t, m, p.path(1).asLong(), p.path(3).asLong());
-      j.enter(t, Job.STARTING);
-      j.inherited.set(t);
-      m.inherited++;
-      m.touchImage(j.spec.image(), j.spec.imageGb());
+      boolean unsettled = j.finishing;
+      for (Writer.Slot s : j.chunks) {
+        unsettled |= s != null && s.inFlight;
+      }
+      left |= unsettled;
+      if (!unsettled) {
+        useSecondFormat(j);
+      }
     }
+    return left;
   }
 
-  void loadRestarts(Job j, JsonNode value) {
-    j.restarted.or(BitSet.valueOf(Base64.getDecoder().decode(value.path("t").asText(""))));
-    j.restarts = value.path("n").asInt(0);
+  private void useSecondFormat(Job j) {
+    Writer.Slot[] older = j.chunks;
+    j.useSecondFormat(gate.spans(), gate.limits().valueBytes(), machines);
+    for (int c = 0; c < older.length; c++) {
+      if (older[c] == null || !older[c].dirty) {
+        continue;
+      }
+      // What waited for the old record waits for every piece of it now.
+      int urgency = older[c].urgency;
+      List<Runnable> actions = List.copyOf(older[c].onDurable);
+      writer.clear(older[c]);
+      int first = c * j.layout.pieces();
+      int end = Math.min(first + j.layout.pieces(), j.chunks.length);
+      int[] missing = {end - first};
+      for (int p = first; p < end; p++) {
+        writer.mark(
+            chunk(j, p),
+            urgency,
+            () -> {
+              if (--missing[0] == 0) {
+                actions.forEach(Runnable::run);
+              }
+            });
+      }
+    }
   }
 
   private void take(Job j, int t, Machine m, long attempt, long session) {
@@ -192,7 +364,8 @@
     j.bound++;
     j.boundInZone[m.zone]++;
     j.countOn(m.index, 1);
-    boundBy[j.spec.priority().ordinal()]++;
+    boundBy[j.priority.ordinal()]++;
+    j.countInRecord(t, m, 1);
     m.bound.add(Job.ref(j.index, t));
     m.use(j.spec, 1);
     quota.take(j.spec);
@@ -206,6 +379,16 @@
     }
   }
 
+  /** A job has the priority of the most urgent one that needs it. */
+  void reprioritize(Job j, Priority p) {
+    if (p != j.priority) {
+      boundBy[j.priority.ordinal()] -= j.bound;
+      boundBy[p.ordinal()] += j.bound;
+      j.priority = p;
+      changed = true;
+    }
+  }
+
   /** How many tasks that may be on machines are of lower priority than this. */
   int boundBelow(Priority p) {
     int n = 0;
@@ -222,7 +405,7 @@
 
   /** A number that no attempt under any leader has had. */
   long newAttempt() {
-    return (token << 20) + ++attempts;
+    return (token << ATTEMPT_BITS) + ++attempts;
   }
 
   /** Binds a pending task; its start is sent when the placement is durable. */
@@ -233,7 +416,7 @@
     placements++;
     m.touchImage(j.spec.image(), j.spec.imageGb());
     writer.mark(
-        chunk(j, j.chunkOf(t)), j.spec.priority().ordinal(), () -> sendStart(j, t, attempt));
+        chunk(j, j.layout.recordOf(t)), j.priority.ordinal(), () -> sendStart(j, t, attempt));
   }
 
   private void sendStart(Job j, int t, long attempt) {
@@ -273,6 +456,27 @@
     }
   }
 
+  /**
+   * The state service will not have a record of tasks: the placements in it never happened, and the
+   * job is left alone for a while.
+   */
+  void notRecorded(String key) {
+    for (Job j : jobs.values()) {
+      for (int c = 0; c < j.chunks.length; c++) {
+        if (j.chunks[c] == null || !j.chunks[c].key.equals(key)) {
+          continue;
+        }
+        j.backOffUntil = calls.now() + NOT_RECORDED_MS;
+        for (int t = j.layout.from(c); t < j.layout.to(c); t++) {
+          if (j.state[t] == Job.PLACING) {
+            release(j, t);
+          }
+        }
+        return;
+      }
+    }
+  }
+
   /** The task has certainly ended without a result: it waits again. */
   void release(Job j, int t) {
     unbind(j, t);
@@ -293,7 +497,8 @@
     j.boundInZone[m.zone]--;
     j.bound--;
     j.countOn(m.index, -1);
-    boundBy[j.spec.priority().ordinal()]--;
+    boundBy[j.priority.ordinal()]--;
+    j.countInRecord(t, m, -1);
     j.stopping.clear(t);
     known(j, t);
     j.machine[t] = -1;
@@ -314,7 +519,7 @@
     changed = true;
     if (!j.cancelled) {
       j.resultPending.set(t);
-      writer.mark(chunk(j, j.chunkOf(t)), Writer.CAN_WAIT, () -> j.resultPending.clear(t));
+      writer.mark(chunk(j, j.layout.recordOf(t)), Writer.CAN_WAIT, () -> j.resultPending.clear(t));
     }
     finishIfOver(j);
   }
@@ -353,36 +558,45 @@
     String id = j.spec.id();
     JobView.Phase phase = done ? JobView.Phase.DONE : JobView.Phase.ABORTED;
     List<Change> apply = new ArrayList<>();
-    apply.add(Change.put(Keys.over(id), StoredJob.over(phase, j.state.length)));
+    apply.add(Change.put(Keys.over(id), StoredJob.over(phase, j.spec)));
     apply.add(Change.delete(Keys.job(id)));
     if (j.restarts > 0) {
       apply.add(Change.delete(Keys.restarts(id)));
     }
-    List<Change> later = new ArrayList<>();
+    List<Change> drops = new ArrayList<>();
+    StoredJob.partKeys(id, j.submission, j.parts).forEach(k -> drops.add(Change.delete(k)));
     for (Writer.Slot s : j.chunks) {
-      if (s == null) {
-        continue;
-      }
-      writer.clear(s);
-      if (s.stamp != 0) {
-        (apply.size() < settings.stateLimits().txnOps() ? apply : later).add(Change.delete(s.key));
+      if (s != null) {
+        writer.clear(s);
+        dropIfStored(s, drops);
       }
     }
+    j.olderChunks.forEach(s -> dropIfStored(s, drops));
+    int now = Math.min(drops.size(), Math.max(0, gate.limits().txnOps() - apply.size()));
+    apply.addAll(drops.subList(0, now));
+    List<Change> later = drops.subList(now, drops.size());
+    // Others may wait for a result; an abortion has been told already.
     writer.whole(
+        done ? Writer.Turn.NEXT : Writer.Turn.SPARE,
         List.of(new Condition(Keys.job(id), j.stamp)),
         apply,
         (outcome, status, body) -> {
-          j.finishing = false;
           if (outcome == Outcome.ANSWERED && status == 200) {
             calls.note(id + " " + phase.wire() + outcome(j));
             remove(id);
             dropLater(later);
           } else {
-            refresh(id);
+            refresh(id, () -> j.finishing = false);
           }
         });
   }
 
+  private static void dropIfStored(Writer.Slot s, List<Change> drops) {
+    if (s.stamp != 0) {
+      drops.add(Change.delete(s.key));
+    }
+  }
+
   /** What an operator wants to know of a job that is over. */
   private String outcome(Job j) {
     double late = (calls.wall() - j.dueWall(1)) / 1000;
@@ -390,26 +604,36 @@
     return String.format(
         Locale.ROOT,
         ": %d tasks, estimate %.1f s, median %.1f s, last placed after %.1f s, done after %.1f s,"
-            + " %s, %d restarts",
+            + " released after %.1f s, %s, %d restarts",
         j.state.length,
         j.spec.estimateS(),
         j.median(),
         Math.max(0, j.placedWall - j.submittedWall) / 1000.0,
         (calls.wall() - j.submittedWall) / 1000.0,
+        (j.releasedWall - j.submittedWall) / 1000.0,
         due,
         j.restarts);
   }
 
   /** Removes records that no longer mean anything. */
   void dropLater(List<Change> drops) {
-    int most = Math.max(1, settings.stateLimits().txnOps());
+    int most = Math.max(1, gate.limits().txnOps());
     for (int i = 0; i < drops.size(); i += most) {
-      writer.whole(List.of(), drops.subList(i, Math.min(drops.size(), i + most)), (o, s, b) -> {});
+      writer.whole(
+          Writer.Turn.SPARE,
+          List.of(),
+          drops.subList(i, Math.min(drops.size(), i + most)),
+          (o, s, b) -> {});
     }
   }
 
   /** Reads a job's record again after a write that did not go through as expected. */
   void refresh(String id) {
+    refresh(id, () -> {});
+  }
+
+  /** The same, and goes on whatever came of it. */
+  void refresh(String id, Runnable then) {
     calls.state(
         "GET",
         "/kv/" + Keys.job(id),
@@ -418,24 +642,15 @@
         (outcome, status, body) -> {
           if (outcome == Outcome.ANSWERED && status == 404) {
             remove(id);
-            return;
-          }
-          if (outcome == Outcome.ANSWERED && status == 200) {
+          } else if (outcome == Outcome.ANSWERED && status == 200) {
             try {
-              var e = org.snowturn.wire.StateMessage.entry(body);
+              StateMessage.Entry e = StateMessage.entry(body);
               record(id, StoredJob.parse(e.value()), e.stamp());
-            } catch (org.snowturn.wire.MalformedException e) {
+            } catch (MalformedException e) {
               calls.note("unusable record of " + id + ": " + e.getMessage());
             }
           }
+          then.run();
         });
   }
-
-  /** The content of the record that counts an array's restarts. */
-  static JsonNode restartsJson(Job j) {
-    return Json.object()
-        .put("v", Keys.VERSION)
-        .put("n", j.restarts)
-        .put("t", Base64.getEncoder().encodeToString(j.restarted.toByteArray()));
-  }
 }
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -60,13 +60,13 @@
     }
     List<Job> waiting = new ArrayList<>();
     for (Job j : ledger.jobs()) {
-      if (j.pending > 0 && !j.cancelled && now >= j.backOffUntil) {
+      if (j.wantsRoom() && now >= j.backOffUntil) {
         waiting.add(j);
       }
     }
     double wall = calls.wall();
     waiting.sort(
-        Comparator.<Job>comparingInt(j -> j.spec.priority().ordinal())
+        Comparator.<Job>comparingInt(j -> j.priority.ordinal())
             .thenComparingInt(j -> j.spec.service() ? 0 : 1)
             .thenComparingInt(j -> lateness(j, wall))
             .thenComparingDouble(Placer::workLeft)
@@ -141,6 +141,9 @@
         return true;
       }
       int t = j.nextPending();
+      if (t < 0) {
+        return true; // waits for room in its records, not on machines
+      }
       Machine best = best(candidates, j, t);
       if (best == null) {
         if (candidates.isEmpty()) {
@@ -304,7 +307,7 @@
 
   /** Makes room, or waits for room being made, on a machine that has a new service's image. */
   private boolean roomWithImage(Job j, List<Machine> usable) {
-    if (calls.wall() - j.submittedWall > IMAGE_PATIENCE_MS) {
+    if (calls.wall() - j.releasedWall > IMAGE_PATIENCE_MS) {
       return false;
     }
     if (calls.now() < j.roomUntil) {
@@ -364,7 +367,7 @@
     if (now < j.roomUntil) {
       return true; // room is being made already; see what it brings first
     }
-    if (ledger.boundBelow(j.spec.priority()) == 0 || !ledger.quota().allows(j.spec)) {
+    if (ledger.boundBelow(j.priority) == 0 || !ledger.quota().allows(j.spec)) {
       return false;
     }
     List<Room> rooms = new ArrayList<>();
@@ -411,12 +414,12 @@
     List<Long> candidates = new ArrayList<>();
     for (long ref : Reports.copy(m.bound)) {
       Job v = ledger.job(ref);
-      if (v.spec.priority().compareTo(j.spec.priority()) > 0) {
+      if (v.priority.compareTo(j.priority) > 0) {
         candidates.add(ref);
       }
     }
     candidates.sort(
-        Comparator.<Long>comparingInt(r -> -ledger.job(r).spec.priority().ordinal())
+        Comparator.<Long>comparingInt(r -> -ledger.job(r).priority.ordinal())
             .thenComparingLong(r -> -ledger.job(r).since[Ledger.task(r)]));
     List<Long> out = new ArrayList<>();
     for (long ref : candidates) {
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -151,12 +151,12 @@
           // Times of tasks that an earlier leader started are unknown, so they never look slow.
           j.since[t] = j.inherited.get(t) ? Job.UNKNOWN : calls.now();
           j.enter(t, Job.RUNNING);
-          double waited = (calls.wall() - j.submittedWall) / 1000.0;
+          double waited = (calls.wall() - j.releasedWall) / 1000.0;
           if (j.spec.service() && waited > 1.5 && j.failures == 0 && !j.inherited.get(t)) {
             calls.note(
                 String.format(
                     java.util.Locale.ROOT,
-                    "%s/%d runs %.1f s after its submission, image %s on %s",
+                    "%s/%d runs %.1f s after it could, image %s on %s",
                     j.spec.id(),
                     t,
                     waited,
--- a/src/main/java/org/snowturn/core/Speculator.java
+++ b/src/main/java/org/snowturn/core/Speculator.java
@@ -22,6 +22,7 @@
   private final MachineBook machines;
   private final Placer placer;
   private final Writer writer;
+  private final FormatGate gate;
   private final Map<String, Writer.Slot> counters = new HashMap<>();
   private int restarts;
 
@@ -31,7 +32,9 @@
       Ledger ledger,
       MachineBook machines,
       Placer placer,
-      Writer writer) {
+      Writer writer,
+      FormatGate gate) {
+    this.gate = gate;
     this.calls = calls;
     this.figures = figures;
     this.ledger = ledger;
@@ -56,7 +59,7 @@
             writer.slot(
                 Keys.restarts(id),
                 0,
-                () -> Ledger.restartsJson(j),
+                () -> RestartRecords.json(j),
                 () -> new org.snowturn.wire.StateMessage.Condition(Keys.job(id), j.stamp)));
   }
 
@@ -172,8 +175,12 @@
   /** Adds the array's tasks that are slow by the design's thresholds. */
   private void addSlow(Job j, List<Candidate> slow) {
     Samples rates = null;
+    int mostBytes = gate.limits().valueBytes();
     for (int t = 0; t < j.state.length; t++) {
-      if (!judged(j, t) || j.restarted.get(t) || j.stopping.get(t)) {
+      if (!judged(j, t)
+          || j.restarted.get(t)
+          || j.stopping.get(t)
+          || !RestartRecords.fits(j, t, mostBytes)) {
         continue;
       }
       double ran = ran(j, t);
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -1,6 +1,9 @@
 package org.snowturn.core;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +11,7 @@
 import org.snowturn.config.Settings;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.JobView;
+import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
 import org.snowturn.wire.StateMessage.Change;
@@ -20,16 +24,35 @@
  */
 final class UserDesk {
   private static final int TIMEOUT_MS = 1800;
+
+  /** Users wait five seconds; what was found is remembered for their next try. */
+  private static final long FIND_WITHIN_MS = 3_500;
+
   private static final int REMEMBERED = 20_000;
   private static final int AGAIN_S = 1;
   private final Settings settings;
   private final Calls calls;
   private final Catalog catalog;
   private final BooleanSupplier stateHealthy;
+  private final FormatGate gate;
+  private final String incarnation;
   private final Map<String, JobView> over = bounded(REMEMBERED);
+
+  /** Jobs known to have been accepted, and whether they are services: neither ever changes. */
+  private final Map<String, Boolean> accepted = bounded(5_000);
+
+  private long submissions;
   private final Map<String, PeerRecord.Progress> progress = bounded(5_000);
 
-  UserDesk(Settings settings, Calls calls, Catalog catalog, BooleanSupplier stateHealthy) {
+  UserDesk(
+      Settings settings,
+      Calls calls,
+      Catalog catalog,
+      FormatGate gate,
+      String incarnation,
+      BooleanSupplier stateHealthy) {
+    this.gate = gate;
+    this.incarnation = incarnation;
     this.stateHealthy = stateHealthy;
     this.settings = settings;
     this.calls = calls;
@@ -62,47 +85,151 @@
     if (refusedForNow(exchange)) {
       return;
     }
-    // The job may be known already: a repeat must get 200 whatever the checks below say today.
     String never = catalog.known() ? whyNever(spec) : null;
     if (!catalog.known() || never != null) {
-      lookUp(
-          exchange,
-          spec.id(),
-          view -> {
-            if (view != null) {
-              calls.answer(exchange, 200, view.brief());
-            } else if (never != null) {
-              calls.answer(exchange, 422, org.snowturn.wire.Json.object().put("error", never));
-            } else {
-              calls.refuse(exchange, 503, AGAIN_S);
-            }
-          });
+      unlessKnown(exchange, spec, never);
+    } else if (spec.awaits().isEmpty()) {
+      write(exchange, spec);
+    } else if (!gate.open()) {
+      // A node of the version before would take the job for one that need not wait.
+      unlessKnown(exchange, spec, null);
+    } else {
+      checkAwaited(exchange, spec);
+    }
+  }
+
+  /** The job may be known already: a repeat must get 200 whatever is found about it today. */
+  private void unlessKnown(long exchange, JobSpec spec, String never) {
+    lookUp(
+        exchange,
+        spec.id(),
+        view -> {
+          if (view != null) {
+            calls.answer(exchange, 200, view.brief());
+          } else if (never != null) {
+            calls.answer(exchange, 422, Json.object().put("error", never));
+          } else {
+            calls.refuse(exchange, 503, AGAIN_S);
+          }
+        });
+  }
+
+  /** Every job that is awaited must have been accepted, by whichever node and version. */
+  private void checkAwaited(long exchange, JobSpec spec) {
+    Map<String, Boolean> services = new HashMap<>();
+    List<String> unknown = new ArrayList<>();
+    for (String id : spec.awaits()) {
+      Boolean service = accepted.get(id);
+      if (service == null) {
+        unknown.add(id);
+      } else {
+        services.put(id, service);
+      }
+    }
+    JobFinder.find(
+        calls,
+        JobFinder.LIVE_FIRST,
+        unknown,
+        FIND_WITHIN_MS,
+        (found, complete) -> {
+          found.forEach((id, fact) -> services.put(id, fact.service()));
+          accepted.putAll(services); // the next try need not ask again
+          if (!complete) {
+            calls.refuse(exchange, 503, AGAIN_S);
+            return;
+          }
+          String never = whyNever(spec.awaits(), services);
+          if (never == null) {
+            write(exchange, spec);
+          } else {
+            unlessKnown(exchange, spec, never);
+          }
+        });
+  }
+
+  private static String whyNever(List<String> awaits, Map<String, Boolean> services) {
+    for (String id : awaits) {
+      if (!services.containsKey(id)) {
+        return "awaits: " + id + " was never accepted";
+      }
+      if (services.get(id)) {
+        return "awaits: " + id + " is a service";
+      }
+    }
+    return null;
+  }
+
+  private void write(long exchange, JobSpec spec) {
+    StoredJob job = new StoredJob(JobView.Phase.QUEUED, calls.wall(), spec);
+    int room = gate.limits().valueBytes();
+    ObjectNode record = job.live();
+    if (!gate.open() || Json.bytes(record).length <= room) {
+      commit(exchange, spec, record, List.of());
       return;
     }
-    StoredJob job = new StoredJob(JobView.Phase.QUEUED, calls.wall(), spec, spec.tasks());
-    JsonNode body =
-        StateMessage.txn(
-            List.of(new Condition(Keys.job(spec.id()), 0), new Condition(Keys.over(spec.id()), 0)),
-            List.of(Change.put(Keys.job(spec.id()), job.live())));
+    String name = incarnation + "-" + ++submissions;
+    List<ObjectNode> parts = StoredJob.cut(Json.text(spec.toJson()), room);
+    writeParts(exchange, spec, job.inParts(name, parts.size()), parts, 0, 0);
+  }
+
+  /**
+   * Writes the parts of a long submission, the first one first. All else names its version, so that
+   * whoever removes it makes sure that the rest never counts.
+   */
+  private void writeParts(
+      long exchange, JobSpec spec, StoredJob job, List<ObjectNode> parts, int done, long first) {
+    String id = spec.id();
+    String prefix = Keys.parts(id, job.submission());
+    if (done == parts.size()) {
+      commit(exchange, spec, job.live(), List.of(new Condition(prefix + 0, first)));
+      return;
+    }
+    int end = done == 0 ? 1 : Math.min(parts.size(), done + gate.limits().txnOps());
+    List<Change> apply = new ArrayList<>();
+    for (int i = done; i < end; i++) {
+      apply.add(Change.put(prefix + i, parts.get(i)));
+    }
+    List<Condition> when = new ArrayList<>(isNew(id));
+    if (done > 0) {
+      when.add(new Condition(prefix + 0, first));
+    }
     calls.state(
         "POST",
         "/txn",
-        body,
+        StateMessage.txn(when, apply),
+        TIMEOUT_MS,
+        (outcome, status, reply) -> {
+          try {
+            if (outcome == Outcome.ANSWERED && status == 200) {
+              long version = done == 0 ? StateMessage.epoch(reply) : first;
+              writeParts(exchange, spec, job, parts, end, version);
+              return;
+            }
+          } catch (MalformedException e) {
+            calls.note("unusable reply to a part of " + id + ": " + e.getMessage());
+          }
+          unlessKnown(exchange, spec, null);
+        });
+  }
+
+  private static List<Condition> isNew(String id) {
+    return List.of(new Condition(Keys.job(id), 0), new Condition(Keys.over(id), 0));
+  }
+
+  private void commit(long exchange, JobSpec spec, ObjectNode record, List<Condition> parts) {
+    List<Condition> when = new ArrayList<>(isNew(spec.id()));
+    when.addAll(parts);
+    calls.state(
+        "POST",
+        "/txn",
+        StateMessage.txn(when, List.of(Change.put(Keys.job(spec.id()), record))),
         TIMEOUT_MS,
         (outcome, status, reply) -> {
           if (outcome == Outcome.ANSWERED && status == 200) {
+            accepted.put(spec.id(), spec.service());
             calls.answer(exchange, 201, new JobView(spec.id(), JobView.Phase.QUEUED, 0, 0).brief());
           } else if (outcome == Outcome.ANSWERED && status == 409) {
-            lookUp(
-                exchange,
-                spec.id(),
-                view -> {
-                  if (view == null) {
-                    calls.refuse(exchange, 503, AGAIN_S);
-                  } else {
-                    calls.answer(exchange, 200, view.brief());
-                  }
-                });
+            unlessKnown(exchange, spec, null);
           } else {
             calls.refuse(exchange, 503, AGAIN_S);
           }
@@ -255,8 +382,7 @@
   }
 
   private void writeCancel(long exchange, String id, StateMessage.Entry live, int tries) {
-    JsonNode value = live.value().deepCopy();
-    ((com.fasterxml.jackson.databind.node.ObjectNode) value).put("p", JobView.Phase.ABORTED.wire());
+    JsonNode value = StoredJob.cancelled(live.value(), gate.limits().valueBytes());
     JsonNode body =
         StateMessage.txn(
             List.of(new Condition(Keys.job(id), live.stamp())),
--- a/src/main/java/org/snowturn/core/Writer.java
+++ b/src/main/java/org/snowturn/core/Writer.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -56,8 +57,18 @@
     }
   }
 
-  /** A transaction of its own that ends a job. */
-  private record Special(List<Condition> when, List<Change> apply, Calls.Then then) {}
+  /** When a whole transaction's turn comes. */
+  enum Turn {
+    /** Before all others: somebody has been told that it will happen soon. */
+    FIRST,
+    /** Before all slots. */
+    NEXT,
+    /** With what no slot that cannot wait has a use for. */
+    SPARE
+  }
+
+  /** A transaction of its own that begins or ends something. */
+  private record Special(Turn turn, List<Condition> when, List<Change> apply, Calls.Then then) {}
 
   /** What the writer needs of the leader. */
   interface Host {
@@ -68,25 +79,38 @@
     void leaderKeyLost();
 
     void guardFailed(String key);
+
+    /** The state service finds a value too long, or wrong in another way. */
+    void notTaken(String key);
   }
 
   private final Calls calls;
   private final Host host;
-  private final Settings.StateLimits limits;
+  private final Supplier<Settings.StateLimits> limits;
   private final Map<String, Slot> slots = new HashMap<>();
   private final TreeMap<Integer, LinkedHashMap<String, Slot>> dirty = new TreeMap<>();
-  private final ArrayDeque<Special> specials = new ArrayDeque<>();
+  private final Map<Turn, ArrayDeque<Special>> specials = new EnumMap<>(Turn.class);
   private double budget;
   private long filledAt;
   private int inFlight;
+  private int mostTogether = Integer.MAX_VALUE;
   private long pauseUntil;
 
-  Writer(Calls calls, Host host, Settings.StateLimits limits) {
+  /** The limits may become smaller at any time. */
+  Writer(Calls calls, Host host, Supplier<Settings.StateLimits> limits) {
     this.calls = calls;
     this.host = host;
     this.limits = limits;
-    this.budget = limits.writeRps() * SHARE;
+    this.budget = rate();
     this.filledAt = calls.now();
+    for (Turn t : Turn.values()) {
+      specials.put(t, new ArrayDeque<>());
+    }
+  }
+
+  /** The changes a second that are the leader's. */
+  private double rate() {
+    return limits.get().writeRps() * SHARE;
   }
 
   Slot slot(String key, long stamp, Supplier<JsonNode> content, Supplier<Condition> guard) {
@@ -111,9 +135,9 @@
     }
   }
 
-  /** Queues one whole transaction, ahead of all slots; the leader key's condition is added. */
-  void whole(List<Condition> when, List<Change> apply, Calls.Then then) {
-    specials.add(new Special(when, apply, then));
+  /** Queues one whole transaction; the leader key's condition is added. */
+  void whole(Turn turn, List<Condition> when, List<Change> apply, Calls.Then then) {
+    specials.get(turn).add(new Special(turn, when, apply, then));
   }
 
   /** Takes a slot out of the queue: its content is about to be removed. */
@@ -144,7 +168,7 @@
 
   void flush() {
     long now = calls.now();
-    double rate = limits.writeRps() * SHARE;
+    double rate = rate();
     budget = Math.min(rate, budget + rate * (now - filledAt) / 1000.0);
     filledAt = now;
     while (inFlight < IN_FLIGHT && now >= pauseUntil && host.hasAuthority() && sendOne()) {
@@ -153,43 +177,57 @@
   }
 
   private boolean sendOne() {
-    Special special = specials.peek();
+    Special special = specials.get(Turn.FIRST).peek();
+    special = special != null ? special : specials.get(Turn.NEXT).peek();
     if (special != null) {
-      int cost = special.apply.size();
-      if (budget < Math.min(cost, limits.writeRps() * SHARE)) {
-        return false;
-      }
-      specials.poll();
-      budget -= cost;
-      inFlight++;
-      List<Condition> when = new ArrayList<>(special.when);
-      when.add(0, new Condition(Keys.LEADER, host.token()));
-      calls.state(
-          "POST",
-          "/txn",
-          StateMessage.txn(when, special.apply),
-          TIMEOUT_MS,
-          (outcome, status, body) -> {
-            inFlight--;
-            if (outcome == Outcome.REFUSED) {
-              pauseUntil = calls.now() + 200;
-              specials.addFirst(special);
-            } else if (outcome == Outcome.ANSWERED
-                && status == 409
-                && StateMessage.failed(body).contains(Keys.LEADER)) {
-              host.leaderKeyLost();
-            } else {
-              special.then.on(outcome, status, body);
-            }
-          });
+      return send(special, 0);
+    }
+    if (sendSlots()) {
       return true;
     }
+    special = specials.get(Turn.SPARE).peek();
+    return special != null && send(special, rate() * KEPT);
+  }
+
+  /** Sends a whole transaction if that leaves so much of the budget to others. */
+  private boolean send(Special special, double left) {
+    int cost = special.apply.size();
+    if (budget - left < Math.min(cost, rate() - left)) {
+      return false;
+    }
+    specials.get(special.turn).poll();
+    budget -= cost;
+    inFlight++;
+    List<Condition> when = new ArrayList<>(special.when);
+    when.add(0, new Condition(Keys.LEADER, host.token()));
+    calls.state(
+        "POST",
+        "/txn",
+        StateMessage.txn(when, special.apply),
+        TIMEOUT_MS,
+        (outcome, status, body) -> {
+          inFlight--;
+          if (outcome == Outcome.REFUSED) {
+            pauseUntil = calls.now() + 200;
+            specials.get(special.turn).addFirst(special);
+          } else if (outcome == Outcome.ANSWERED
+              && status == 409
+              && StateMessage.failed(body).contains(Keys.LEADER)) {
+            host.leaderKeyLost();
+          } else {
+            special.then.on(outcome, status, body);
+          }
+        });
+    return true;
+  }
+
+  private boolean sendSlots() {
     List<Slot> taken = new ArrayList<>();
     List<Condition> when = new ArrayList<>();
     List<Change> apply = new ArrayList<>();
     when.add(new Condition(Keys.LEADER, host.token()));
     Map<String, Condition> guards = new LinkedHashMap<>();
-    int most = (int) Math.min(limits.txnOps(), Math.floor(budget));
+    int most = (int) Math.min(Math.min(limits.get().txnOps(), mostTogether), Math.floor(budget));
     int canWait = mostThatCanWait();
     int bytes = 0;
     outer:
@@ -247,8 +285,8 @@
    * budget to placements, which else would find it spent on results, and go several at a time.
    */
   private int mostThatCanWait() {
-    int left = (int) Math.floor(budget - limits.writeRps() * SHARE * KEPT);
-    int enough = Math.min(waiting(), Math.max(1, limits.txnOps() / 2));
+    int left = (int) Math.floor(budget - rate() * KEPT);
+    int enough = Math.min(waiting(), Math.max(1, limits.get().txnOps() / 2));
     return left < enough ? 0 : left;
   }
 
@@ -276,11 +314,28 @@
         calls.note("unusable reply to a write: " + e.getMessage());
       }
     }
+    if (outcome == Outcome.ANSWERED && status == 400 && taken.size() == 1) {
+      // The same again would be refused for ever: it waits until there is something else to write.
+      Slot s = taken.get(0);
+      s.onDurable.addAll(0, actions.get(0));
+      s.inFlight = false;
+      mostTogether = Integer.MAX_VALUE; // it was this value, not the number of changes
+      calls.note("the state service will not have " + s.key + ": " + body);
+      host.notTaken(s.key);
+      return;
+    }
     for (int i = 0; i < taken.size(); i++) {
       Slot s = taken.get(i);
       s.onDurable.addAll(0, actions.get(i));
       mark(s, urgencies.get(i), null);
     }
+    if (outcome == Outcome.ANSWERED && status == 400) {
+      // Too many changes, or one of them too long: fewer at a time tell which.
+      mostTogether = Math.max(1, taken.size() / 2);
+      calls.note("the state service will not have " + taken.size() + " changes at once: " + body);
+      taken.forEach(s -> s.inFlight = false);
+      return;
+    }
     if (outcome == Outcome.REFUSED) {
       taken.forEach(s -> s.inFlight = false);
       pauseUntil = calls.now() + 200;
--- a/src/main/java/org/snowturn/wire/JobSpec.java
+++ b/src/main/java/org/snowturn/wire/JobSpec.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
@@ -13,6 +15,7 @@
  * @param types allowed machine types, or null for any
  * @param zone the only allowed zone, or null
  * @param deadlineS seconds from submission, or NaN for none
+ * @param awaits the jobs that have to be done before any task of this one starts, each named once
  */
 public record JobSpec(
     String id,
@@ -34,7 +37,8 @@
     double estimateS,
     double checkpointS,
     double saveS,
-    double deadlineS) {
+    double deadlineS,
+    List<String> awaits) {
 
   /** How the tasks of a job hang together. */
   public enum Kind {
@@ -113,7 +117,51 @@
         f.number("guess_s", 0, 1e9, 0),
         f.number("cairn_s", 0, 1e9, 0),
         f.number("stash_s", 0, 1e9, 0),
-        f.number("due_s", 0, 1e9, Double.NaN));
+        f.number("due_s", 0, 1e9, Double.NaN),
+        awaits(f));
+  }
+
+  private static List<String> awaits(Fields f) throws MalformedException {
+    if (!f.has("awaits")) {
+      return List.of();
+    }
+    if (!f.node("awaits").isArray()) {
+      throw new MalformedException("awaits: list expected");
+    }
+    Set<String> ids = new LinkedHashSet<>();
+    for (JsonNode n : f.node("awaits")) {
+      if (!n.isTextual() || !isId(n.textValue())) {
+        throw new MalformedException("awaits: list of job ids expected");
+      }
+      ids.add(n.textValue());
+    }
+    return List.copyOf(ids);
+  }
+
+  /** The same job without what only its starts need: what names others and what may be long. */
+  public JobSpec withoutStart() {
+    return new JobSpec(
+        id,
+        "-",
+        team,
+        kind,
+        priority,
+        tasks,
+        cpus,
+        gpus,
+        memoryGb,
+        "-",
+        imageGb,
+        null,
+        null,
+        oneZone,
+        spread,
+        spot,
+        estimateS,
+        checkpointS,
+        saveS,
+        deadlineS,
+        List.of());
   }
 
   /** The submission's own form, as it is also stored. */
@@ -135,6 +183,10 @@
     if (!Double.isNaN(deadlineS)) {
       o.put("due_s", deadlineS);
     }
+    if (!awaits.isEmpty()) {
+      ArrayNode a = o.putArray("awaits");
+      awaits.forEach(a::add);
+    }
     return o;
   }
 
--- a/src/main/java/org/snowturn/wire/Json.java
+++ b/src/main/java/org/snowturn/wire/Json.java
@@ -30,6 +30,21 @@
     return node == null ? JsonNodeFactory.instance.missingNode() : node;
   }
 
+  /** Parses a whole document. */
+  public static JsonNode parse(String text) throws IOException {
+    JsonNode node = MAPPER.readTree(text);
+    return node == null ? JsonNodeFactory.instance.missingNode() : node;
+  }
+
+  /** Writes a document as text. */
+  public static String text(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsString(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Writes a document. */
   public static byte[] bytes(JsonNode node) {
     try {
--- a/src/test/java/org/snowturn/core/FleetPolicyTest.java
+++ b/src/test/java/org/snowturn/core/FleetPolicyTest.java
@@ -28,6 +28,7 @@
             new Settings.Objective("deadline", "c", lateBearable, 1.5, 0)),
         new Settings.Workers(2, 10, 30),
         new Settings.StateLimits(100, 20, 4, 8),
+        new Settings.StateLimits(100, 20, 4, 8),
         new Settings.CloudLimits(2, 1),
         100);
   }
--- a/src/test/java/org/snowturn/daemon/DaemonTest.java
+++ b/src/test/java/org/snowturn/daemon/DaemonTest.java
@@ -49,6 +49,7 @@
             List.of(),
             new Settings.Workers(2, 10, 30),
             new Settings.StateLimits(100, 20, 4, 8),
+            new Settings.StateLimits(100, 20, 4, 8),
             new Settings.CloudLimits(2, 1),
             100);
     daemon = new Daemon(settings, Tunables.defaults());
--- a/src/test/java/org/snowturn/sim/Rules.java
+++ b/src/test/java/org/snowturn/sim/Rules.java
@@ -1,5 +1,6 @@
 package org.snowturn.sim;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -27,6 +28,7 @@
 
   /** A task has its image and starts. */
   void started(StandInWorker w, StandInWorker.Task t, JobSpec spec) {
+    checkAwaited(t, spec);
     int[] sameZone = {0};
     int[] otherZone = {0};
     for (StandInWorker other : world.workers.values()) {
@@ -48,6 +50,25 @@
     }
   }
 
+  /** All that a job needs must be durably done before any task of it starts. */
+  private void checkAwaited(StandInWorker.Task t, JobSpec spec) {
+    for (String id : spec.awaits()) {
+      JsonNode over = world.state.peek("d/" + id);
+      if (over == null || !over.path("p").asText().equals("done")) {
+        broke("too_early", t.name() + " before " + id);
+      }
+    }
+  }
+
+  /** A job is called queued or running, though one that it needs was cancelled long ago. */
+  void calledLive(Users.Mine m) {
+    Long told = world.users.neededCancelTold(m.spec.id());
+    double cancelMs = world.settings[0].workers().cancelS() * 1000;
+    if (told != null && world.now > Math.max(told, m.acceptedAt) + cancelMs) {
+      broke("orphaned", m.spec.id());
+    }
+  }
+
   /** Looks at the whole world, after every event. */
   void check() {
     boolean limits = world.settings[0].teams().stream().anyMatch(t -> t.cpusMax() > 0);
--- a/src/test/java/org/snowturn/sim/StandInWorker.java
+++ b/src/test/java/org/snowturn/sim/StandInWorker.java
@@ -64,9 +64,30 @@
     leaseFrom = world.now;
     at = world.random.nextInt(world.nodes.size());
     watchLease();
+    world.state.runningOn(rented.id).forEach(this::resume);
     report();
   }
 
+  /** A task that another version's leader started before this world began. */
+  private void resume(String[] words) {
+    Task t = task(words[0], Long.parseLong(words[1]));
+    tasks.put(words[0] + "#" + t.attempt, t);
+    if (words[2].equals("running")) {
+      run(t, world.users.spec(t.job), session);
+    } else {
+      exit(t, words[3]);
+    }
+  }
+
+  private static Task task(String name, long attempt) {
+    Task t = new Task();
+    int slash = name.lastIndexOf('/');
+    t.job = name.substring(0, slash);
+    t.index = Integer.parseInt(name.substring(slash + 1));
+    t.attempt = attempt;
+    return t;
+  }
+
   void die() {
     dead = true;
     tasks.clear();
@@ -221,11 +242,7 @@
   }
 
   private void start(String name, long attempt, String key) {
-    Task t = new Task();
-    int slash = name.lastIndexOf('/');
-    t.job = name.substring(0, slash);
-    t.index = Integer.parseInt(name.substring(slash + 1));
-    t.attempt = attempt;
+    Task t = task(name, attempt);
     JobSpec spec = world.users.spec(t.job);
     boolean twice = false;
     double cpus = 0;
