--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -519,7 +519,13 @@
     changed = true;
     if (!j.cancelled) {
       j.resultPending.set(t);
-      writer.mark(chunk(j, j.layout.recordOf(t)), Writer.CAN_WAIT, () -> j.resultPending.clear(t));
+      writer.mark(
+          chunk(j, j.layout.recordOf(t)),
+          Writer.CAN_WAIT,
+          () -> {
+            j.resultPending.clear(t);
+            finishIfOver(j); // others may wait for it: not only at the next sweep
+          });
     }
     finishIfOver(j);
   }
--- a/src/main/java/org/snowturn/daemon/Rehearsal.java
+++ b/src/main/java/org/snowturn/daemon/Rehearsal.java
@@ -20,6 +20,11 @@
  * of a core most of the start-up is class loading.
  */
 final class Rehearsal {
+  /**
+   * A build machine may be busy with much else: two seconds were too few for two builds at once.
+   */
+  private static final int PATIENCE_MS = 30_000;
+
   private Rehearsal() {}
 
   static int run() throws Exception {
@@ -112,8 +117,8 @@
 
   private static void request(int port, String text) throws Exception {
     try (Socket s = new Socket()) {
-      s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 2000);
-      s.setSoTimeout(2000);
+      s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), PATIENCE_MS);
+      s.setSoTimeout(PATIENCE_MS);
       s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
       s.getInputStream().readAllBytes();
     }
