--- a/src/test/java/org/snowturn/config/SettingsTest.java
+++ b/src/test/java/org/snowturn/config/SettingsTest.java
@@ -51,6 +51,21 @@
     return Files.writeString(dir.resolve(name), text);
   }
 
+  @Test
+  void laterLimitsAreOptionalAndWhatTheyLeaveOutStays() throws Exception {
+    Settings now = SettingsReader.read(file("s.toml", GOOD));
+    assertEquals(now.stateLimits(), now.nextStateLimits());
+    String later = "[deployment.state.next]\nwrite_rps = 30.0\ntxn_ops = 4\n";
+    Settings s = SettingsReader.read(file("s.toml", GOOD + later));
+    assertEquals(new Settings.StateLimits(100, 30, 4, 4), s.nextStateLimits());
+    assertEquals(
+        new Settings.StateLimits(100, 20, 4, 4), s.stateLimits().least(s.nextStateLimits()));
+    String wrong = GOOD + "[deployment.state.next]\nvalue_kb = 0.0\n";
+    Exception e =
+        assertThrows(SettingsException.class, () -> SettingsReader.read(file("s.toml", wrong)));
+    assertTrue(e.getMessage().contains("deployment.state.next.value_kb"));
+  }
+
   @Test
   void readsAndIgnoresWhatItDoesNotKnow() throws Exception {
     Settings s = SettingsReader.read(file("s.toml", GOOD));
--- /dev/null
+++ b/src/test/java/org/snowturn/core/RecordsTest.java
@@ -0,0 +1,163 @@
+package org.snowturn.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.JobView;
+import org.snowturn.wire.Json;
+
+/** The stored forms: that both formats say the same, and that they fit their values. */
+class RecordsTest {
+  private static final int VALUE = 2048;
+
+  private final MachineBook machines = new MachineBook(List.of("z"), m -> null);
+
+  private static JobSpec spec(int tasks, String image) throws Exception {
+    ObjectNode o = Json.object().put("id", "wk-000001").put("jobclass", "c").put("owner", "t");
+    o.put("shape", "batch").put("rank", "high").put("flakes", tasks).put("cores", 1.0);
+    o.put("ram_gb", 1.0).put("bundle", image).put("size_gb", 1.0);
+    return JobSpec.parse(o);
+  }
+
+  /** Every third task done, the others placed, by leaders with tokens far apart. */
+  private Job busy(FormatGate.Spans spans, boolean second, String machine) throws Exception {
+    Job j = new Job(0, spec(120, "i"), 0, 2);
+    if (second) {
+      j.useSecondFormat(spans, VALUE, machines);
+    } else {
+      j.useFirstFormat(spans.first());
+    }
+    for (int t = 0; t < 120; t++) {
+      j.enter(t, t % 3 == 0 ? Job.DONE : Job.RUNNING);
+      j.machine[t] = machines.getOrCreate(machine + t).index;
+      j.attempt[t] = ((t < 60 ? 7L : 9_000L) << Ledger.ATTEMPT_BITS) + t;
+      j.session[t] = t % 5 == 0 ? 12 : 1;
+    }
+    return j;
+  }
+
+  private List<String> told(Job j) {
+    List<String> out = new ArrayList<>();
+    for (int r = 0; r < j.layout.records(); r++) {
+      TaskRecords.read(
+          j.chunkJson(r, machines),
+          j.layout.from(r),
+          new TaskRecords.Reader() {
+            @Override
+            public void done(int task) {
+              out.add(task + " done");
+            }
+
+            @Override
+            public void placed(int task, long attempt, String machine, long session) {
+              out.add(task + " " + attempt + " " + machine + " " + session);
+            }
+          });
+    }
+    out.sort(null);
+    return out;
+  }
+
+  @Test
+  void bothFormatsTellTheSame() throws Exception {
+    FormatGate.Spans spans = new FormatGate.Spans(51, 20);
+    assertEquals(told(busy(spans, false, "i-0000")), told(busy(spans, true, "i-0000")));
+    assertEquals(120, told(busy(spans, true, "i-0000")).size());
+  }
+
+  @Test
+  void piecesOfTheSecondFormatNeverLieInTwoRecordsOfTheFirst() {
+    for (int first : new int[] {8, 51, 101, 204}) {
+      for (int second : new int[] {4, 25, 53, 400}) {
+        TaskLayout l = TaskLayout.second(1000, new FormatGate.Spans(first, second));
+        int next = 0;
+        for (int r = 0; r < l.records(); r++) {
+          assertEquals(next, l.from(r));
+          assertTrue(l.to(r) - l.from(r) <= second);
+          assertEquals(l.from(r) / first, (l.to(r) - 1) / first);
+          for (int t = l.from(r); t < l.to(r); t++) {
+            assertEquals(r, l.recordOf(t));
+          }
+          next = l.to(r);
+        }
+        assertEquals(1000, next);
+      }
+    }
+  }
+
+  @Test
+  void aRecordTakesNoMorePlacementsThanItsValueHolds() throws Exception {
+    int span = TaskRecords.span(VALUE);
+    for (String name : new String[] {"i-0000", "machine-with-a-very-long-name-indeed-"}) {
+      Job j = new Job(0, spec(span, "i"), 0, 2);
+      j.useSecondFormat(new FormatGate.Spans(span, span), VALUE, machines);
+      int n = 0;
+      for (int t = j.nextPending(); t >= 0; t = j.nextPending()) {
+        Machine m = machines.getOrCreate(name + (10 + t));
+        j.machine[t] = m.index;
+        j.attempt[t] = ((t == 0 ? 1L : 90_000L) << Ledger.ATTEMPT_BITS) + t;
+        j.session[t] = 100;
+        j.enter(t, Job.PLACING);
+        j.pending--;
+        j.countInRecord(t, m, 1);
+        n++;
+      }
+      assertTrue(Json.bytes(j.chunkJson(0, machines)).length <= VALUE, name);
+      assertEquals(name.length() < 8, n == span, name + " " + n);
+    }
+  }
+
+  @Test
+  void aLongSubmissionComesBackFromItsPartsWhateverItsCharacters() throws Exception {
+    String image = "\u0001\"\\\ud83d\ude00é".repeat(30);
+    JobSpec s = spec(3, image);
+    StoredJob whole = new StoredJob(JobView.Phase.QUEUED, 5, s);
+    List<ObjectNode> parts = StoredJob.cut(Json.text(s.toJson()), 120);
+    StoredJob stored = StoredJob.parse(whole.inParts("n", parts.size()).live());
+    assertTrue(stored.incomplete());
+    Map<String, String> texts = new HashMap<>();
+    List<String> keys = StoredJob.partKeys("wk-000001", "n", parts.size());
+    for (int i = 0; i < parts.size(); i++) {
+      assertTrue(Json.bytes(parts.get(i)).length <= 120);
+      JsonNode read = Json.parse(Json.bytes(parts.get(i)));
+      texts.put(keys.get(i), read.path("x").asText());
+    }
+    assertEquals(s, stored.withParts("wk-000001", texts).spec());
+  }
+
+  @Test
+  void aCancelledRecordFitsASmallerValueThanItsJobWasStoredIn() throws Exception {
+    JobSpec s = spec(3, "i".repeat(200));
+    JsonNode live = new StoredJob(JobView.Phase.QUEUED, 5, s).live();
+    ObjectNode cancelled = StoredJob.cancelled(live, 350);
+    assertTrue(Json.bytes(cancelled).length <= 350);
+    assertEquals(JobView.Phase.ABORTED, StoredJob.parse(cancelled).phase());
+    assertEquals("t", StoredJob.parse(cancelled).spec().team());
+  }
+
+  @Test
+  void restartsAreListedOnceTheFormatAllowsAndOnlyWhileTheyFit() throws Exception {
+    Job j = new Job(0, spec(100_000, "i"), 0, 2);
+    j.useFirstFormat(51);
+    assertTrue(RestartRecords.fits(j, 500, VALUE));
+    assertTrue(!RestartRecords.fits(j, 99_999, VALUE));
+    j.useSecondFormat(new FormatGate.Spans(51, 51), VALUE, machines);
+    for (int t = 99_999; RestartRecords.fits(j, t, VALUE); t--) {
+      j.restarted.set(t);
+      j.restarts++;
+    }
+    assertTrue(j.restarts > 200);
+    assertTrue(Json.bytes(RestartRecords.json(j)).length <= VALUE);
+    Job next = new Job(0, spec(100_000, "i"), 0, 2);
+    RestartRecords.load(next, RestartRecords.json(j));
+    assertEquals(j.restarted, next.restarted);
+  }
+}
