A pipeline's path is counted at its estimates, so that first jobs are not given up

Cause: what a job lends of its deadline was less one and a half estimates and 3 s a stage; with the deadlines of these users (estimates of the longest path and 45 or 75 s) the first jobs of long pipelines seemed late whatever is done, and late arrays go last. Ruled out: release (11 to 40 ms after the end of what is awaited) and acceptance.

--- a/src/main/java/org/snowturn/core/JobGraph.java
+++ b/src/main/java/org/snowturn/core/JobGraph.java
@@ -29,10 +29,11 @@
   private static final long RECOUNT_MS = 250;
   private static final int REMEMBERED = 5_000;
 
-  /** What a stage takes beyond its tasks' estimated run: the longest task, image, start, result. */
-  private static final double RUN_FACTOR = 1.5;
-
-  private static final double STAGE_S = 3;
+  /**
+   * What a stage takes beside its estimate: image, start, result. It is not to be more than usual:
+   * a job that seems late whatever is done goes last, and all behind it with it.
+   */
+  private static final double STAGE_S = 1;
 
   private final Calls calls;
   private final FormatGate gate;
@@ -321,7 +322,7 @@
     ArrayDeque<Job> lenders = new ArrayDeque<>(List.of(from));
     while (!lenders.isEmpty()) {
       Job j = lenders.poll();
-      double takesMs = 1000 * (STAGE_S + RUN_FACTOR * j.spec.estimateS());
+      double takesMs = 1000 * (STAGE_S + j.spec.estimateS());
       double due = j.dueWall(1) - takesMs;
       double lateDue = j.dueWall(1.5) - takesMs;
       for (String id : j.unmet) {
