A job that is over is not brought back by an old event of the watch

Cause: a cancellation's event could arrive after the job's end had been written; the job was entered again, cancelled again and ended again, at two changes that fail. A job's id never comes back, so the leader ignores what it hears of one that it ended.

--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -27,6 +27,7 @@
   static final int ATTEMPT_BITS = 20;
 
   private static final long NOT_RECORDED_MS = 20_000;
+  private static final int REMEMBERED = 5_000;
 
   /** Who wants to know how jobs come and go. */
   interface Listener {
@@ -52,6 +53,15 @@
   /** Records whose parts are being read, with their versions. */
   private final Map<String, Long> partsWanted = new HashMap<>();
 
+  /** Jobs that were over lately: what a watch still tells of their records is old. */
+  private final Map<String, Boolean> ended =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+          return size() > REMEMBERED;
+        }
+      };
+
   private long attempts;
   private long placements;
   private final int[] boundBy = new int[Priority.values().length];
@@ -105,6 +115,9 @@
 
   /** Adds a job or takes over a newer version of its record. */
   void record(String id, StoredJob stored, long stamp) {
+    if (ended.containsKey(id)) {
+      return; // else it would be ended once more, at the cost of changes that fail
+    }
     Job j = jobs.get(id);
     if (j == null && stored.incomplete()) {
       readParts(id, stored, stamp);
@@ -213,6 +226,7 @@
     if (j == null) {
       return;
     }
+    ended.put(id, true);
     // Only a leader moves a record, under its version as we last read it: what we were about to
     // write is what it became.
     listener.over(
