--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -283,6 +283,7 @@
         w.state.loseReplies = Double.parseDouble(e[3]);
         w.after(ms(e[4]), () -> w.state.loseReplies = 0);
       }
+      case "slow-watch" -> w.state.watchDelayMs = ms(e[3]);
       case "late-txns" -> {
         w.state.lateTxns = Double.parseDouble(e[3]);
         w.after(ms(e[4]), () -> w.state.lateTxns = 0);
--- a/src/test/java/org/snowturn/sim/StandInState.java
+++ b/src/test/java/org/snowturn/sim/StandInState.java
@@ -38,6 +38,7 @@
   private final List<Runnable> watches = new ArrayList<>();
   final Set<String> refusing = new HashSet<>();
   boolean outage;
+  long watchDelayMs;
   double loseReplies;
   double lateTxns;
   Settings.StateLimits limits;
@@ -189,6 +190,10 @@
       world.after(4000 + world.random.nextInt(15_000), () -> execute(c, (o, s, b) -> {}));
       return;
     }
+    if (watchDelayMs > 0 && c.path().startsWith("/watch")) {
+      execute(c, (o, s, b) -> world.after(watchDelayMs, () -> back.on(o, s, b)));
+      return;
+    }
     boolean lose = txn && world.random.nextDouble() < loseReplies;
     execute(c, lose ? (o, s, b) -> {} : back);
   }
