A long list is stored over several tries: parts are named by what they say

Cause: a list as long as a body allows takes 34 changes at 2 KiB a value, more than the state service takes in a second; each try began anew under a name of its own, so it could never be accepted. The user is told to come back (503), and the next try, on whichever node, writes what is missing.

--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -32,7 +32,7 @@
     catalog = new Catalog(calls);
     election = new Election(settings, tunables, calls, incarnation);
     gate = new FormatGate(settings, calls);
-    desk = new UserDesk(settings, calls, catalog, gate, incarnation, election::stateHealthy);
+    desk = new UserDesk(settings, calls, catalog, gate, election::stateHealthy);
   }
 
   /** Takes one input and returns what is to be done. */
--- a/src/main/java/org/snowturn/core/StoredJob.java
+++ b/src/main/java/org/snowturn/core/StoredJob.java
@@ -3,8 +3,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -30,6 +33,7 @@
     int parts,
     boolean whole) {
   private static final int FIXED_BYTES = 40;
+  private static final int NAME_BYTES = 16;
 
   StoredJob(JobView.Phase phase, long submittedWall, JobSpec spec) {
     this(phase, submittedWall, spec, null, 0, true);
@@ -136,6 +140,17 @@
     return spec.service() ? o.put("service", true) : o;
   }
 
+  /** A name for the parts of a text, cut to this size: the same for the same. */
+  static String nameOf(String text, int valueBytes) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      byte[] hash = digest.digest(Json.bytes(Json.array().add(text).add(valueBytes)));
+      return HexFormat.of().formatHex(hash, 0, NAME_BYTES);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e); // every Java platform has it
+    }
+  }
+
   /** Cuts a text into parts, each of which a value can hold. */
   static List<ObjectNode> cut(String text, int valueBytes) {
     List<ObjectNode> out = new ArrayList<>();
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,13 +36,11 @@
   private final Catalog catalog;
   private final BooleanSupplier stateHealthy;
   private final FormatGate gate;
-  private final String incarnation;
   private final Map<String, JobView> over = bounded(REMEMBERED);
 
   /** Jobs known to have been accepted, and whether they are services: neither ever changes. */
   private final Map<String, Boolean> accepted = bounded(5_000);
 
-  private long submissions;
   private final Map<String, PeerRecord.Progress> progress = bounded(5_000);
 
   UserDesk(
@@ -49,10 +48,8 @@
       Calls calls,
       Catalog catalog,
       FormatGate gate,
-      String incarnation,
       BooleanSupplier stateHealthy) {
     this.gate = gate;
-    this.incarnation = incarnation;
     this.stateHealthy = stateHealthy;
     this.settings = settings;
     this.calls = calls;
@@ -167,49 +164,98 @@
       commit(exchange, spec, record, List.of());
       return;
     }
-    String name = incarnation + "-" + ++submissions;
-    List<ObjectNode> parts = StoredJob.cut(Json.text(spec.toJson()), room);
-    writeParts(exchange, spec, job.inParts(name, parts.size()), parts, 0, 0);
+    String text = Json.text(spec.toJson());
+    List<ObjectNode> parts = StoredJob.cut(text, room);
+    new PartsWriter(exchange, spec, job.inParts(StoredJob.nameOf(text, room), parts.size()), parts)
+        .look();
   }
 
   /**
    * Writes the parts of a long submission, the first one first. All else names its version, so that
-   * whoever removes it makes sure that the rest never counts.
+   * whoever removes it makes sure that the rest never counts. The parts are named by what they say:
+   * where the state service takes only some of them at a time, the user's next try goes on from
+   * there, on whichever node.
    */
-  private void writeParts(
-      long exchange, JobSpec spec, StoredJob job, List<ObjectNode> parts, int done, long first) {
-    String id = spec.id();
-    String prefix = Keys.parts(id, job.submission());
-    if (done == parts.size()) {
-      commit(exchange, spec, job.live(), List.of(new Condition(prefix + 0, first)));
-      return;
+  private final class PartsWriter {
+    private final long exchange;
+    private final JobSpec spec;
+    private final StoredJob job;
+    private final List<ObjectNode> parts;
+    private final String prefix;
+    private final BitSet stored = new BitSet();
+    private long first;
+
+    PartsWriter(long exchange, JobSpec spec, StoredJob job, List<ObjectNode> parts) {
+      this.exchange = exchange;
+      this.spec = spec;
+      this.job = job;
+      this.parts = parts;
+      this.prefix = Keys.parts(spec.id(), job.submission());
     }
-    int end = done == 0 ? 1 : Math.min(parts.size(), done + gate.limits().txnOps());
-    List<Change> apply = new ArrayList<>();
-    for (int i = done; i < end; i++) {
-      apply.add(Change.put(prefix + i, parts.get(i)));
+
+    /** Learns what an earlier try has stored already. */
+    void look() {
+      calls.state(
+          "GET",
+          "/kv?prefix=" + prefix + "&most=1000",
+          null,
+          TIMEOUT_MS,
+          (outcome, status, body) -> {
+            try {
+              if (outcome == Outcome.ANSWERED && status == 200) {
+                StateMessage.entries(body).forEach(this::found);
+                next();
+                return;
+              }
+            } catch (MalformedException e) {
+              calls.note("unusable parts of " + spec.id() + ": " + e.getMessage());
+            }
+            calls.refuse(exchange, 503, AGAIN_S);
+          });
     }
-    List<Condition> when = new ArrayList<>(isNew(id));
-    if (done > 0) {
-      when.add(new Condition(prefix + 0, first));
+
+    private void found(StateMessage.Entry e) {
+      int index = Integer.parseInt(e.key().substring(prefix.length()));
+      stored.set(index);
+      if (index == 0) {
+        first = e.stamp();
+      }
     }
-    calls.state(
-        "POST",
-        "/txn",
-        StateMessage.txn(when, apply),
-        TIMEOUT_MS,
-        (outcome, status, reply) -> {
-          try {
-            if (outcome == Outcome.ANSWERED && status == 200) {
-              long version = done == 0 ? StateMessage.epoch(reply) : first;
-              writeParts(exchange, spec, job, parts, end, version);
-              return;
+
+    private void next() {
+      List<Condition> when = new ArrayList<>(isNew(spec.id()));
+      List<Change> apply = new ArrayList<>();
+      int most = stored.get(0) ? gate.limits().txnOps() : 1;
+      when.add(new Condition(prefix + 0, first));
+      BitSet written = new BitSet();
+      for (int i = stored.nextClearBit(0); i < parts.size() && apply.size() < most; ) {
+        apply.add(Change.put(prefix + i, parts.get(i)));
+        written.set(i);
+        i = stored.nextClearBit(i + 1);
+      }
+      if (apply.isEmpty()) {
+        commit(exchange, spec, job.live(), List.of(new Condition(prefix + 0, first)));
+        return;
+      }
+      calls.state(
+          "POST",
+          "/txn",
+          StateMessage.txn(when, apply),
+          TIMEOUT_MS,
+          (outcome, status, reply) -> {
+            try {
+              if (outcome == Outcome.ANSWERED && status == 200) {
+                first = written.get(0) ? StateMessage.epoch(reply) : first;
+                stored.or(written);
+                next();
+                return;
+              }
+            } catch (MalformedException e) {
+              calls.note("unusable reply to a part of " + spec.id() + ": " + e.getMessage());
             }
-          } catch (MalformedException e) {
-            calls.note("unusable reply to a part of " + id + ": " + e.getMessage());
-          }
-          unlessKnown(exchange, spec, null);
-        });
+            unlessKnown(exchange, spec, null);
+          });
+    }
   }
 
   private static List<Condition> isNew(String id) {
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -258,6 +258,7 @@
   private void event(World w, String[] e) {
     switch (e[2]) {
       case "submit" -> names(e[3]).forEach(id -> submit(w, id, e));
+      case "over" -> names(e[3]).forEach(w.state::recordDone);
       case "start" -> w.node(e[3]).start();
       case "limits" -> w.state.limits = w.settings[0].nextStateLimits();
       case "cancel" -> w.users.cancel(e[3]);
--- a/src/test/java/org/snowturn/sim/StandInState.java
+++ b/src/test/java/org/snowturn/sim/StandInState.java
@@ -84,6 +84,12 @@
     return running.getOrDefault(machine, List.of());
   }
 
+  /** A job that ran long ago, as its short record tells. */
+  void recordDone(String id) {
+    epoch++;
+    change("d/" + id, Json.object().put("v", 1).put("p", "done").put("n", 1), 0);
+  }
+
   private void refill() {
     double s = (world.now - filledAt) / 1000.0;
     filledAt = world.now;
