--- a/src/main/java/org/snowturn/core/JobGraph.java
+++ b/src/main/java/org/snowturn/core/JobGraph.java
@@ -6,7 +6,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,14 +43,7 @@
   private final Map<String, Set<Job>> waiting = new HashMap<>();
 
   private final Set<String> unknown = new LinkedHashSet<>();
-  private final Map<String, JobView.Phase> over =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, JobView.Phase> eldest) {
-          return size() > REMEMBERED;
-        }
-      };
-
+  private final Map<String, JobView.Phase> over = new Recent<>(REMEMBERED);
   private final ArrayDeque<Job> joined = new ArrayDeque<>();
   private final Set<Job> toCancel = new LinkedHashSet<>();
   private final Set<Job> cancelling = new HashSet<>();
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -54,13 +54,7 @@
   private final Map<String, Long> partsWanted = new HashMap<>();
 
   /** Jobs that were over lately: what a watch still tells of their records is old. */
-  private final Map<String, Boolean> ended =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-          return size() > REMEMBERED;
-        }
-      };
+  private final Map<String, Boolean> ended = new Recent<>(REMEMBERED);
 
   private long attempts;
   private long placements;
--- /dev/null
+++ b/src/main/java/org/snowturn/core/Recent.java
@@ -0,0 +1,19 @@
+package org.snowturn.core;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Remembers a bounded number of things, those used last. */
+final class Recent<K, V> extends LinkedHashMap<K, V> {
+  private final int most;
+
+  Recent(int most) {
+    super(64, 0.75f, true);
+    this.most = most;
+  }
+
+  @Override
+  protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+    return size() > most;
+  }
+}
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -36,12 +35,12 @@
   private final Catalog catalog;
   private final BooleanSupplier stateHealthy;
   private final FormatGate gate;
-  private final Map<String, JobView> over = bounded(REMEMBERED);
+  private final Map<String, JobView> over = new Recent<>(REMEMBERED);
 
   /** Jobs known to have been accepted, and whether they are services: neither ever changes. */
-  private final Map<String, Boolean> accepted = bounded(5_000);
+  private final Map<String, Boolean> accepted = new Recent<>(5_000);
 
-  private final Map<String, PeerRecord.Progress> progress = bounded(5_000);
+  private final Map<String, PeerRecord.Progress> progress = new Recent<>(5_000);
 
   UserDesk(
       Settings settings,
@@ -56,15 +55,6 @@
     this.catalog = catalog;
   }
 
-  private static <V> Map<String, V> bounded(int most) {
-    return new LinkedHashMap<>(64, 0.75f, true) {
-      @Override
-      protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
-        return size() > most;
-      }
-    };
-  }
-
   void progress(PeerRecord.Progress p) {
     progress.put(p.job(), p);
   }
