Clearing away parts of a submission can no longer take what the user's next try counts on

The others are now removed only while the first is not there, and a try that does not find the first writes all of them.

Also: a step of the job graph in two replies that is taken right afterwards anyway is gone.

--- a/src/main/java/org/snowturn/core/JobGraph.java
+++ b/src/main/java/org/snowturn/core/JobGraph.java
@@ -256,7 +256,9 @@
     }
   }
 
-  /** One transaction; where it fails as a whole, each job is read again and tried by itself. */
+  /**
+   * One transaction; where it fails, what is still to be cancelled is read again and tried anew.
+   */
   private void writeCancelled(Collection<Job> batch) {
     List<Condition> when = new ArrayList<>();
     List<Change> apply = new ArrayList<>();
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -329,7 +329,6 @@
           try {
             StateMessage.events(body).forEach(this::onJobRecord);
             watchFrom = Math.max(watchFrom, StateMessage.epoch(body));
-            graph.step();
             ledger.retryFinishing();
           } catch (MalformedException e) {
             watchRetryAt = calls.now() + 200;
@@ -350,7 +349,6 @@
               watching = false;
               watchFrom = js.epoch();
               js.entries().forEach(this::onJobRecord);
-              graph.step();
             });
   }
 
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -158,7 +158,8 @@
 
   /**
    * Removes parts of submissions that were never accepted. The first part goes first: a late
-   * transaction that would still accept one names that part's version, and fails from then on.
+   * transaction that would still accept one names that part's version, and fails from then on. The
+   * others go only while the first is not there again: else the user's next try counts on them.
    */
   void dropUnusedParts(List<StateMessage.Entry> parts, Set<String> used) {
     Map<String, List<StateMessage.Entry>> bySubmission = new LinkedHashMap<>();
@@ -168,25 +169,26 @@
         bySubmission.computeIfAbsent(name, n -> new ArrayList<>()).add(e);
       }
     }
-    bySubmission.forEach(
-        (name, entries) -> {
-          String id = name.substring(Keys.PARTS.length(), name.indexOf('/', Keys.PARTS.length()));
-          List<Change> drops = entries.stream().map(e -> Change.delete(e.key())).toList();
-          List<Condition> when = new ArrayList<>(List.of(new Condition(Keys.job(id), 0)));
-          for (StateMessage.Entry e : entries) {
-            if (e.key().equals(name + "0")) {
-              when.add(new Condition(e.key(), e.stamp()));
-            }
+    bySubmission.forEach(this::dropSubmission);
+  }
+
+  private void dropSubmission(String name, List<StateMessage.Entry> entries) {
+    String id = name.substring(Keys.PARTS.length(), name.indexOf('/', Keys.PARTS.length()));
+    String first = name + "0";
+    long version = 0;
+    for (StateMessage.Entry e : entries) {
+      version = e.key().equals(first) ? e.stamp() : version;
+    }
+    writer.whole(
+        Writer.Turn.SPARE,
+        List.of(new Condition(Keys.job(id), 0), new Condition(first, version)),
+        List.of(Change.delete(first)),
+        (outcome, status, body) -> {
+          if (outcome == Outcome.ANSWERED && status == 200) {
+            dropLater(
+                List.of(new Condition(first, 0)),
+                entries.stream().map(e -> Change.delete(e.key())).toList());
           }
-          writer.whole(
-              Writer.Turn.SPARE,
-              when,
-              List.of(Change.delete(name + "0")),
-              (outcome, status, body) -> {
-                if (outcome == Outcome.ANSWERED && status == 200) {
-                  dropLater(drops);
-                }
-              });
         });
   }
 
@@ -631,11 +633,15 @@
 
   /** Removes records that no longer mean anything. */
   void dropLater(List<Change> drops) {
+    dropLater(List.of(), drops);
+  }
+
+  private void dropLater(List<Condition> when, List<Change> drops) {
     int most = Math.max(1, gate.limits().txnOps());
     for (int i = 0; i < drops.size(); i += most) {
       writer.whole(
           Writer.Turn.SPARE,
-          List.of(),
+          when,
           drops.subList(i, Math.min(drops.size(), i + most)),
           (o, s, b) -> {});
     }
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -194,6 +194,9 @@
             try {
               if (outcome == Outcome.ANSWERED && status == 200) {
                 StateMessage.entries(body).forEach(this::found);
+                if (!stored.get(0)) {
+                  stored.clear(); // without the first the others may be about to be removed
+                }
                 next();
                 return;
               }
--- /dev/null
+++ b/src/test/java/org/snowturn/core/PartsCleanupTest.java
@@ -0,0 +1,94 @@
+package org.snowturn.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.snowturn.config.Settings;
+import org.snowturn.wire.Json;
+import org.snowturn.wire.StateMessage;
+
+/** A user's next try may go on from parts that a leader is clearing away: one of them must fail. */
+class PartsCleanupTest {
+  private static final String PARTS = Keys.parts("wk-000001", "s");
+
+  private static final Writer.Host HOST =
+      new Writer.Host() {
+        @Override
+        public boolean hasAuthority() {
+          return true;
+        }
+
+        @Override
+        public long token() {
+          return 7;
+        }
+
+        @Override
+        public void leaderKeyLost() {}
+
+        @Override
+        public void guardFailed(String key) {}
+
+        @Override
+        public void notTaken(String key) {}
+      };
+
+  private static StateMessage.Entry part(int n, long version) {
+    return new StateMessage.Entry(PARTS + n, Json.object(), version);
+  }
+
+  private static Effect.Call onlyCall(Calls calls) {
+    List<Effect> effects = calls.drain();
+    assertEquals(1, effects.size());
+    return (Effect.Call) effects.get(0);
+  }
+
+  private static String when(Effect.Call c) {
+    JsonNode all = c.body().path("when");
+    return all.toString();
+  }
+
+  @Test
+  void theOtherPartsGoOnlyWhileTheFirstIsNotThereAgain() {
+    Settings.StateLimits limits = new Settings.StateLimits(100, 100, 2, 4);
+    Settings settings =
+        new Settings(
+            "a",
+            "z",
+            null,
+            null,
+            List.of(),
+            null,
+            null,
+            List.of("z"),
+            List.of(),
+            List.of(),
+            new Settings.Workers(2, 10, 30),
+            limits,
+            limits,
+            new Settings.CloudLimits(1, 1),
+            100);
+    Calls calls = new Calls();
+    FormatGate gate = new FormatGate(settings, calls);
+    Writer writer = new Writer(calls, HOST, () -> limits);
+    MachineBook machines = new MachineBook(List.of("z"), m -> null);
+    Ledger ledger = new Ledger(calls, gate, writer, machines, new Quota(List.of()), 7);
+
+    ledger.dropUnusedParts(List.of(part(0, 41), part(1, 42)), Set.of());
+    writer.flush();
+    Effect.Call first = onlyCall(calls);
+    assertEquals(
+        "[{\"path\":\"l/leader\",\"stamp\":7},{\"path\":\"j/wk-000001\",\"stamp\":0},"
+            + "{\"path\":\"x/wk-000001/s/0\",\"stamp\":41}]",
+        when(first));
+    calls.reply(new Input.Reply(first.id(), Outcome.ANSWERED, 200, Json.object().put("epoch", 50)));
+    writer.flush();
+    Effect.Call rest = onlyCall(calls);
+    assertEquals(
+        "[{\"path\":\"l/leader\",\"stamp\":7},{\"path\":\"x/wk-000001/s/0\",\"stamp\":0}]",
+        when(rest));
+  }
+}
