Spare capacity grows smoothly with what users ask; no single share tips the fleet

Now the spare capacity of arrays is a continuous function of the share of late arrays and of starts that are asked for sooner than a machine boots; beyond three times the need all is held, as before for the deployments that ask for 0.975, 0.98, or starts within 2 s. Ruled out: deciding by the share at 1.5 times the deadline (0.997 here, 0.975 on a deployment that holds all). Starts in bursts are later than with all held. The summary line tells where the tasks on machines are: recorded, started, fetching, running.

--- a/src/main/java/org/snowturn/core/Catalog.java
+++ b/src/main/java/org/snowturn/core/Catalog.java
@@ -33,6 +33,15 @@
     return types.get(name);
   }
 
+  /** How long the type that is up soonest takes; 0 while none is known. */
+  double quickestBootS() {
+    double least = types.isEmpty() ? 0 : Double.MAX_VALUE;
+    for (MachineType t : types.values()) {
+      least = Math.min(least, t.bootS());
+    }
+    return least;
+  }
+
   /** Whether some allowed type, offered in an allowed zone, can hold one task. */
   boolean canHold(JobSpec s) {
     for (MachineType t : types.values()) {
--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -344,15 +344,20 @@
   }
 
   private double target(boolean spot) {
-    if (policy.generous()) {
+    double plenty = policy.plenty();
+    if (plenty >= 1) {
       return Double.MAX_VALUE;
     }
     double need = need(spot);
     if (!spot) {
       double spare =
           need > 0 ? need * policy.serviceHeadroom() + SPARE_REPLICAS * largestReplica() : 0;
-      return need + spare + overflow();
+      return need + spare + overflow(plenty);
     }
+    return arrayTarget(need);
+  }
+
+  private double arrayTarget(double need) {
     // A burst's machines stay a little: the next array finds them up and with their images.
     long now = calls.now();
     if (need >= peakArrayCpus || now - peakAt > 30_000) {
@@ -364,9 +369,9 @@
 
   /**
    * CPUs of ordinary machines for arrays: only where no more spot machines can be had, and only for
-   * what these would take too long to work off.
+   * what these would take too long to work off, or as far as spare capacity is worth its price.
    */
-  private double overflow() {
+  private double overflow(double plenty) {
     if (!allRefused(true)) {
       return 0;
     }
@@ -376,7 +381,8 @@
         work += j.pending * j.spec.cpus() * Math.max(1, j.spec.estimateS());
       }
     }
-    return Math.max(0, work / DRAIN_S - supply(true));
+    double spare = plenty * plenty * arrayTarget(need(true));
+    return Math.max(0, Math.max(work / DRAIN_S, spare) - supply(true));
   }
 
   private void hire() {
@@ -629,11 +635,9 @@
       present++;
       sick += m.sick ? 1 : 0;
     }
-    if (!policy.generous()) {
-      shrink(false, target(false));
-      shrink(true, target(true));
-      moveReplica();
-    }
+    shrink(false, target(false));
+    shrink(true, target(true));
+    moveReplica();
     for (Machine m : machines.present()) {
       if (m.deleting) {
         continue;
--- a/src/main/java/org/snowturn/core/FleetPolicy.java
+++ b/src/main/java/org/snowturn/core/FleetPolicy.java
@@ -1,22 +1,79 @@
 package org.snowturn.core;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
 import org.snowturn.config.Settings;
 
 /**
- * How much spare capacity to hold. The settings tell no prices' aims, but how many late jobs the
- * users can bear: where hardly any may be late, everything the cloud gives is held; where some may,
- * capacity follows demand with some headroom, and idle machines are returned.
+ * How much spare capacity to hold, as a share of what is needed. The settings tell no prices' aims,
+ * but two things that the users cannot have without machines that are up beforehand: hardly an
+ * array late, or arrays that start sooner than a machine boots. Both count as far as they are asked
+ * for, so that no small change of one figure turns a fleet that follows demand into one that holds
+ * everything.
  */
-record FleetPolicy(boolean generous, double arrayHeadroom, double serviceHeadroom) {
-  private static final double TIGHT_SHARE = 0.95;
+final class FleetPolicy {
+  /** Above what is needed where the users ask for nothing special. */
+  private static final double LEAST = 0.15;
 
-  static FleetPolicy of(Settings s) {
-    double share = 0;
+  /** Such a share of late arrays can be kept by following demand; half of it cannot. */
+  private static final double LATE_BEARABLE = 0.05;
+
+  /** How steeply the spare capacity grows as fewer may be late. */
+  private static final double STEEPNESS = 5;
+
+  /** So many times what is needed is all that a cloud gives, or nearly. */
+  private static final double ALL = 3;
+
+  private final double forDeadlines;
+  private final Map<String, Settings.Objective> starts = new HashMap<>();
+
+  private final DoubleSupplier bootS;
+
+  private FleetPolicy(Settings s, DoubleSupplier bootS) {
+    this.bootS = bootS;
+    double late = 1;
     for (Settings.Objective o : s.objectives()) {
       if (o.kind().equals("deadline") && o.times() <= 1) {
-        share = Math.max(share, o.share());
+        late = Math.min(late, 1 - o.share());
       }
     }
-    return new FleetPolicy(share >= TIGHT_SHARE, 0.15, 0.15);
+    this.forDeadlines = LEAST * Math.pow(LATE_BEARABLE / Math.max(1e-3, late), STEEPNESS);
+    for (Settings.Objective o : s.objectives()) {
+      if (o.kind().equals("wait") && array(s, o.jobClass())) {
+        starts.merge(o.jobClass(), o, (a, b) -> a.withinS() <= b.withinS() ? a : b);
+      }
+    }
+  }
+
+  /** Only arrays have deadlines. */
+  private static boolean array(Settings s, String jobClass) {
+    return s.objectives().stream()
+        .anyMatch(o -> o.kind().equals("deadline") && o.jobClass().equals(jobClass));
+  }
+
+  /** The policy that these settings ask for; {@code bootS} is how long the quickest boot takes. */
+  static FleetPolicy of(Settings s, DoubleSupplier bootS) {
+    return new FleetPolicy(s, bootS);
+  }
+
+  /** Spare capacity for arrays, as a share of what they need. */
+  double arrayHeadroom() {
+    double forStarts = 0;
+    for (Settings.Objective o : starts.values()) {
+      double sooner = Math.max(0, 1 - o.withinS() / Math.max(1, bootS.getAsDouble()));
+      forStarts = Math.max(forStarts, sooner * o.share() / Math.max(1e-3, 1 - o.share()));
+    }
+    return LEAST + forDeadlines + forStarts;
+  }
+
+  /** Spare capacity for services, as a share of what they need. */
+  double serviceHeadroom() {
+    return LEAST;
+  }
+
+  /** From 0, where capacity follows demand closely, to 1, where all that there is is held. */
+  double plenty() {
+    return Math.min(1, (arrayHeadroom() - LEAST) / (ALL - LEAST));
   }
 }
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -78,7 +78,7 @@
     this.desk = desk;
     this.token = election.token();
     this.startedAt = calls.now();
-    FleetPolicy policy = FleetPolicy.of(settings);
+    FleetPolicy policy = FleetPolicy.of(settings, catalog::quickestBootS);
     machines = new MachineBook(settings.zones(), m -> new Outbox(calls, this, m));
     writer = new Writer(calls, this, gate::limits);
     ledger = new Ledger(calls, gate, writer, machines, new Quota(settings.teams()), token);
@@ -572,6 +572,12 @@
       pending += j.wantsRoom() ? j.pending : 0;
       bound += j.bound;
     }
+    int[] stages = new int[Job.RUNNING + 1];
+    for (Job j : ledger.jobs()) {
+      for (byte state : j.state) {
+        stages[state]++;
+      }
+    }
     int[] up = new int[2];
     int[] coming = new int[2];
     double[] cpus = new double[2];
@@ -591,12 +597,17 @@
     calls.note(
         String.format(
             java.util.Locale.ROOT,
-            "%d jobs, %d await others, %d tasks wait, %d on machines; ordinary %d up, %d not, %.0f of %.0f cpus;"
+            "%d jobs, %d await others, %d tasks wait, %d on machines (%d not recorded, %d starting,"
+                + " %d fetching, %d running); ordinary %d up, %d not, %.0f of %.0f cpus;"
                 + " spot %d up, %d not, %.0f of %.0f cpus; restarts %d; writes wait %d; not up %s",
             ledger.jobs().size(),
             graph.waitingJobs(),
             pending,
             bound,
+            stages[Job.PLACING],
+            stages[Job.STARTING],
+            stages[Job.FETCHING],
+            stages[Job.RUNNING],
             up[0],
             coming[0],
             used[0],
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -49,6 +49,9 @@
 
   private long looks;
 
+  /** The policy's, at the present plan. */
+  private double plenty;
+
   Placer(Calls calls, Settings settings, Ledger ledger, MachineBook machines, FleetPolicy policy) {
     for (Settings.Objective o : settings.objectives()) {
       if (o.kind().equals("wait")) {
@@ -64,6 +67,7 @@
   /** Places what fits; tells whether every waiting task was placed or cannot be placed now. */
   boolean plan() {
     long now = calls.now();
+    plenty = policy.plenty();
     List<Machine> usable = new ArrayList<>();
     for (Machine m : machines.present()) {
       if (m.usable(now) && machines.zoneKnown(m.zone)) {
@@ -289,7 +293,7 @@
     }
     double free = m.cpusFree() / m.shape.cpus();
     // Where money is an aim the fullest machine is best, so that others can be returned.
-    score += policy.generous() ? 1.0 * (1 - free) : 3.0 * free;
+    score += plenty * (1 - free) + (1 - plenty) * 3.0 * free;
     if (m.errorsInRow > 0) {
       score += 20;
     }
