Struck machines' tasks wait at once under the next leader; zones of placements kept right

The next leader read placements on machines it did not know, in no zone; the cloud's lagging list then named their zone without moving what was counted there, and on release the zone's count fell to -1 for each, so a second replica was allowed in. Mended: the zone of a machine changes in one place, Ledger.locate, with what is bound there. A placement on a machine that is not on the roll is over: machines are entered durably before their first placement, and struck out only with proof. Strikes are written before results. Ruled out: late packets of the cut (no start of an old leader was executed).

--- a/src/main/java/org/snowturn/core/DarkZones.java
+++ b/src/main/java/org/snowturn/core/DarkZones.java
@@ -3,8 +3,10 @@
 import java.util.Arrays;
 
 /**
- * Zones that have fallen silent as a whole while others are heard: they are cut off, so machines
- * hired there would not be heard of either, and those on their way are no help for now.
+ * Whose silence it is when machines are not heard: their own, their zone's, or this node's.
+ *
+ * <p>Zones that have fallen silent as a whole while others are heard are cut off: machines hired
+ * there would not be heard of either, and those on their way are no help for now.
  */
 final class DarkZones {
   /** Fewer silent machines than this may have died one by one. */
@@ -14,21 +16,29 @@
   private final int[] heard;
   private final int[] silent;
 
+  /** Of the silent ones, those that are not about to be deleted. */
+  private final int[] kept;
+
+  private boolean inReach;
+
   DarkZones(int zones) {
     dark = new boolean[zones];
     heard = new int[zones];
     silent = new int[zones];
+    kept = new int[zones];
   }
 
   /** Starts a new count. */
   void begin() {
     Arrays.fill(heard, 0);
     Arrays.fill(silent, 0);
+    Arrays.fill(kept, 0);
   }
 
   /** Counts a machine that has been up. */
   void count(Machine m, boolean quiet) {
     (quiet ? silent : heard)[m.zone]++;
+    kept[m.zone] += quiet && !m.deleting ? 1 : 0;
   }
 
   /** Judges by the count; a dark zone stays dark until one of its machines is heard. */
@@ -37,6 +47,25 @@
     for (int z = 0; z < dark.length; z++) {
       dark[z] = any && heard[z] == 0 && (dark[z] || silent[z] >= ENOUGH);
     }
+    int allHeard = Arrays.stream(heard).sum();
+    int allKept = Arrays.stream(kept).sum();
+    inReach = allKept <= Math.max(2, allHeard * 2 / 3);
+    for (int z = 0; z < dark.length; z++) {
+      inReach |= heard[z] >= ENOUGH && kept[z] * 3 <= heard[z] * 2;
+    }
+  }
+
+  /**
+   * Whether silence is not this node's own: it hears most machines, or most of some zone. A zone
+   * that is cut off may hold more machines than all others together.
+   */
+  boolean inReach() {
+    return inReach;
+  }
+
+  /** How many machines are heard. */
+  int heard() {
+    return Arrays.stream(heard).sum();
   }
 
   boolean dark(int zone) {
--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -190,7 +190,7 @@
       m.cloudState = c.state();
       if (m.type == null) {
         m.type = c.type();
-        m.zone = machines.zone(c.zone());
+        ledger.locate(m, machines.zone(c.zone()));
         m.spot = c.spot();
         m.shape = catalog.get(c.type());
         if (c.addr() != null) {
@@ -494,7 +494,7 @@
           Machine m = machines.getOrCreate(id);
           if (m.type == null) {
             m.type = h.kind.type;
-            m.zone = h.kind.zone;
+            ledger.locate(m, h.kind.zone);
             m.spot = h.kind.spot;
             m.shape = catalog.get(h.kind.type);
           }
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -25,6 +25,11 @@
   /** A machine that left a message unanswered gets no new work for so long, or until it reports. */
   private static final long UNANSWERED_MS = 1_500;
 
+  /** So many sweeps without a report, where so many reports were due, are no accident. */
+  private static final int DEAF_SWEEPS = 6;
+
+  private static final int DEAF_REPORTS = 15;
+
   private final Calls calls;
   private final Settings settings;
   private final Tunables tunables;
@@ -51,6 +56,8 @@
   private List<StateMessage.Entry> loadedParts = List.of();
   private boolean secondFormat;
   private long outboxLooks;
+  private boolean reported;
+  private int sweepsUnheard;
   private boolean loaded;
   private boolean watching;
   private boolean ended;
@@ -373,6 +380,7 @@
       calls.answer(exchange, 200, Command.answer(token, List.of()));
       return;
     }
+    reported = true;
     take(m, r);
     List<Command> orders = reports.orders(m, r);
     m.lastAnswerAt = calls.now();
@@ -429,21 +437,9 @@
     }
   }
 
-  /** Whether silence is the machines' own: where most are silent, this node is the one cut off. */
+  /** Whether silence is the machines' own, as the last sweep had it. */
   private boolean replaceable() {
-    int heard = 0;
-    int silent = 0;
-    for (Machine m : machines.present()) {
-      if (hasBeenUp(m) && !m.deleting) {
-        if (quiet(m)) {
-          silent++;
-        } else {
-          heard++;
-        }
-      }
-    }
-    return calls.now() - startedAt > Reports.lapseMs(settings)
-        && silent <= Math.max(2, heard * 2 / 3);
+    return calls.now() - startedAt > Reports.turnOverMs(settings) && darkZones.inReach();
   }
 
   /** Heard by this leader, or recorded by an earlier one. */
@@ -455,11 +451,15 @@
   private boolean quiet(Machine m) {
     return m.lastReportAt != Job.UNKNOWN
         ? calls.now() > m.quietFrom
-        : calls.now() - startedAt > Reports.lapseMs(settings);
+        : calls.now() - startedAt > Reports.turnOverMs(settings);
   }
 
   private void sweep() {
     long now = calls.now();
+    if (deaf()) {
+      election.resign("no worker reaches this node any more");
+      return;
+    }
     int heard = 0;
     int silent = 0;
     darkZones.begin();
@@ -475,6 +475,10 @@
       darkZones.count(m, quiet);
       if (m.lastReportAt == Job.UNKNOWN) {
         if (!quiet) {
+          // The first question may have been lost in the crowd of a takeover.
+          if (m.addr != null && m.outbox.idle() && now >= m.blockedUntil) {
+            m.outbox.ask();
+          }
           continue;
         }
         if (m.bound.isEmpty()
@@ -507,6 +511,22 @@
     roll.sweep();
   }
 
+  /**
+   * Whether reports have stopped altogether. That is this node's own trouble, and is known long
+   * before its machines, one after the other, would seem to have died and be deleted. Counted in
+   * sweeps: a node that stood still has not listened meanwhile.
+   */
+  private boolean deaf() {
+    sweepsUnheard = reported ? 0 : sweepsUnheard + 1;
+    reported = false;
+    double expected =
+        sweepsUnheard * SWEEP_MS / 1000.0 * darkZones.heard() / settings.workers().reportS();
+    return sweepsUnheard >= DEAF_SWEEPS
+        && expected > DEAF_REPORTS
+        && !settings.peers().isEmpty()
+        && calls.now() - startedAt > Reports.turnOverMs(settings);
+  }
+
   // --- the loop ---
 
   void tick() {
@@ -572,7 +592,7 @@
       pending += j.wantsRoom() ? j.pending : 0;
       bound += j.bound;
     }
-    int[] stages = new int[Job.RUNNING + 1];
+    int[] stages = new int[Job.DONE + 1];
     for (Job j : ledger.jobs()) {
       for (byte state : j.state) {
         stages[state]++;
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -302,9 +302,12 @@
 
           @Override
           public void placed(int t, long attempt, String machine, long session) {
-            if (isNews(t)) {
-              Machine m = machines.getOrCreate(machine);
-              // An earlier leader may have answered it until now, whether or not it is on the roll.
+            Machine m = machines.find(machine);
+            // A machine is on the roll before its first placement is written, and struck out only
+            // when all on it has ended for certain: what was placed on one that is not there waits.
+            // Taken for bound, it would be missed for as long as a lease (zone cut, leader dies).
+            if (isNews(t) && m != null && m.rollPage >= 0) {
+              // An earlier leader may have answered it until now.
               m.lastAnswerAt = Math.max(m.lastAnswerAt, calls.now());
               take(j, t, m, attempt, session);
               j.enter(t, Job.STARTING);
@@ -413,6 +416,22 @@
     return placements;
   }
 
+  /**
+   * The zone of a machine has become known. What is bound there moves with it: counted in the old
+   * zone and released in the new one, a job's tasks would be too few there for ever, and one more
+   * than its spread allows would start (wrong_place).
+   */
+  void locate(Machine m, int zone) {
+    if (zone != m.zone) {
+      for (long ref : Reports.copy(m.bound)) {
+        Job j = job(ref);
+        j.boundInZone[m.zone]--;
+        j.boundInZone[zone]++;
+      }
+      m.zone = zone;
+    }
+  }
+
   /** A number that no attempt under any leader has had. */
   long newAttempt() {
     return (token << ATTEMPT_BITS) + ++attempts;
--- a/src/main/java/org/snowturn/core/MachineRoll.java
+++ b/src/main/java/org/snowturn/core/MachineRoll.java
@@ -224,23 +224,23 @@
       if (p.splitting || split(p)) {
         continue; // written once it is short enough
       }
-      boolean changed = false;
+      boolean struck = false;
       boolean images = false;
       for (Iterator<Machine> it = p.machines.iterator(); it.hasNext(); ) {
         Machine m = it.next();
         if (m.gone && m.bound.isEmpty()) {
           it.remove();
           m.rollPage = -1;
-          changed = true;
+          struck = true;
         }
         images |= m.imagesChanged;
       }
-      if (images && calls.now() - p.imagesAt > IMAGES_EVERY_MS) {
+      if (struck) {
+        // The next leader takes what was placed there for ended: no waiting for a lease.
+        writer.mark(p.slot, Writer.SOON, null);
+      } else if (images && calls.now() - p.imagesAt > IMAGES_EVERY_MS) {
         p.imagesAt = calls.now();
         p.machines.forEach(m -> m.imagesChanged = false);
-        changed = true;
-      }
-      if (changed) {
         writer.mark(p.slot, Writer.CAN_WAIT, null);
       }
     }
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -18,6 +18,7 @@
 final class Reports {
   private static final double DRIFT = 0.001;
   private static final long LAPSE_MARGIN_MS = 600;
+  private static final long TURN_OVER_MS = 6_500;
   private final Calls calls;
   private final Settings settings;
   private final Tunables tunables;
@@ -48,6 +49,14 @@
     return (long) (s.workers().leaseS() * 1000 * (1 + DRIFT)) + LAPSE_MARGIN_MS;
   }
 
+  /**
+   * How long a machine that is up may take to find a new leader: a report's interval, the time-out
+   * of one sent to the node that is gone, and two tries elsewhere.
+   */
+  static long turnOverMs(Settings s) {
+    return Math.min(lapseMs(s), (long) (1000 * s.workers().reportS() * 1.25) + TURN_OVER_MS);
+  }
+
   /** The longest usual time between two reports of a machine. */
   static long quietMs(Settings s) {
     return (long) (1000 * (s.workers().reportS() * 1.25 + 0.8));
@@ -302,13 +311,6 @@
     m.type = r.type();
     m.spot = r.spot();
     m.shape = catalog.get(r.type());
-    int zone = machines.zone(r.zone());
-    if (zone != m.zone) {
-      for (long ref : copy(m.bound)) {
-        ledger.job(ref).boundInZone[m.zone]--;
-        ledger.job(ref).boundInZone[zone]++;
-      }
-      m.zone = zone;
-    }
+    ledger.locate(m, machines.zone(r.zone()));
   }
 }
