Waiting work by the least time to spare for an aim that can still be kept

Cause: in bursts of both fleet sites all machines are in use (98 to 99% of the tasks on machines run), so what is late is late by the order. Jobs that had missed their deadline waited for all that had not, for minutes, though one and a half times the deadline or the aim at finish could still be kept; arrays with hundreds of seconds to spare went before them. Now an aim at start or finish, the deadline or one and a half times it counts as long as it can be kept; less than 30 s to spare for one goes first (urgentSlackS), then what can wait, then what has missed all; the least work first among equals. Priority and services before arrays as before. Ruled out: placements waiting for their write (at most 200 of 8600 tasks).

--- a/src/main/java/org/snowturn/config/Tunables.java
+++ b/src/main/java/org/snowturn/config/Tunables.java
@@ -12,6 +12,7 @@
  * @param idleReturnS idle time before a spare machine is returned
  * @param bootPatience boot times waited before a machine is given up
  * @param sickErrors failures in a row, across jobs, that take a machine out of use
+ * @param urgentSlackS waiting jobs with less time than this to spare for an aim go first
  */
 public record Tunables(
     double leaderTtlS,
@@ -23,10 +24,11 @@
     double gainFactor,
     double idleReturnS,
     double bootPatience,
-    int sickErrors) {
+    int sickErrors,
+    double urgentSlackS) {
 
   /** The values used when the operators give none. */
   public static Tunables defaults() {
-    return new Tunables(0, true, 0.10, 25, 25, 20, 3.0, 3, 3.0, 3);
+    return new Tunables(0, true, 0.10, 25, 25, 20, 3.0, 3, 3.0, 3, 30);
   }
 }
--- a/src/main/java/org/snowturn/config/TunablesReader.java
+++ b/src/main/java/org/snowturn/config/TunablesReader.java
@@ -26,7 +26,8 @@
           Map.entry("gainFactor", new Range(0, 100)),
           Map.entry("idleReturnS", new Range(0, 86_400)),
           Map.entry("bootPatience", new Range(1, 100)),
-          Map.entry("sickErrors", new Range(1, 1000)));
+          Map.entry("sickErrors", new Range(1, 1000)),
+          Map.entry("urgentSlackS", new Range(0, 86_400)));
 
   private TunablesReader() {}
 
@@ -95,7 +96,8 @@
         numbers.getOrDefault("gainFactor", d.gainFactor()),
         numbers.getOrDefault("idleReturnS", d.idleReturnS()),
         numbers.getOrDefault("bootPatience", d.bootPatience()),
-        numbers.getOrDefault("sickErrors", (double) d.sickErrors()).intValue());
+        numbers.getOrDefault("sickErrors", (double) d.sickErrors()).intValue(),
+        numbers.getOrDefault("urgentSlackS", d.urgentSlackS()));
   }
 
   private static SettingsException bad(Path path, int line, String element, String what) {
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -93,7 +93,8 @@
     ledger.listen(graph);
     roll = new MachineRoll(calls, writer, machines, gate);
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
-    placer = new Placer(calls, settings, ledger, machines, policy);
+    WaitingOrder order = new WaitingOrder(settings, tunables.urgentSlackS());
+    placer = new Placer(calls, settings, ledger, machines, policy, order);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer, gate);
     darkZones = new DarkZones(machines.zoneCount());
     fleet =
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -42,6 +42,7 @@
   private final Ledger ledger;
   private final MachineBook machines;
   private final FleetPolicy policy;
+  private final WaitingOrder order;
   private final Map<String, Double> startWithin = new HashMap<>();
 
   /** What found no room in the present plan. */
@@ -52,7 +53,14 @@
   /** The policy's, at the present plan. */
   private double plenty;
 
-  Placer(Calls calls, Settings settings, Ledger ledger, MachineBook machines, FleetPolicy policy) {
+  Placer(
+      Calls calls,
+      Settings settings,
+      Ledger ledger,
+      MachineBook machines,
+      FleetPolicy policy,
+      WaitingOrder order) {
+    this.order = order;
     for (Settings.Objective o : settings.objectives()) {
       if (o.kind().equals("wait")) {
         startWithin.merge(o.jobClass(), o.withinS(), Math::min);
@@ -80,14 +88,7 @@
         waiting.add(j);
       }
     }
-    double wall = calls.wall();
-    waiting.sort(
-        Comparator.<Job>comparingInt(j -> j.priority.ordinal())
-            .thenComparingInt(j -> j.spec.service() ? 0 : 1)
-            .thenComparingInt(j -> lateness(j, wall))
-            .thenComparingDouble(Placer::workLeft)
-            .thenComparingLong(j -> j.submittedWall)
-            .thenComparing(j -> j.spec.id()));
+    waiting.sort(order.at(calls.wall()));
     boolean room = true;
     tooLarge.clear();
     for (Job j : waiting) {
@@ -119,17 +120,6 @@
     }
   }
 
-  /** 0: can still be in time; 1: within one and a half times; 2: late whatever is done now. */
-  private static int lateness(Job j, double wall) {
-    double end = wall + j.spec.estimateS() * 1000;
-    return end <= j.dueWall(1) ? 0 : end <= j.dueWall(1.5) ? 1 : 2;
-  }
-
-  /** Where not all can be in time, the most are if those with the least to do go first. */
-  private static double workLeft(Job j) {
-    return j.pending * j.spec.cpus() * Math.max(1, j.spec.estimateS());
-  }
-
   private boolean placeJob(Job j, List<Machine> usable) {
     if (j.spec.kind() == JobSpec.Kind.GANG && !gangFits(j, usable)) {
       return false;
--- /dev/null
+++ b/src/main/java/org/snowturn/core/WaitingOrder.java
@@ -0,0 +1,79 @@
+package org.snowturn.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.snowturn.config.Settings;
+
+/**
+ * In which order waiting jobs get room: by priority, services first, then by what can still be kept
+ * of what their users want.
+ *
+ * <p>Each aim is a time by which a job must have started or be done: its deadline, one and a half
+ * times it, the aims at start and finish of its class. A job with little time to spare for the next
+ * one that it can still meet goes first; one that can wait goes after it; one that can meet none
+ * goes last. Among equals the least work goes first: where not all can be in time, the most are so.
+ * By deadlines alone large late arrays would hold the machines of a burst, and by work alone small
+ * arrays with hours to spare would make large ones late.
+ */
+final class WaitingOrder {
+  private record Aims(List<Double> startWithinS, List<Double> doneWithinS) {}
+
+  private static final Aims NONE = new Aims(List.of(), List.of());
+
+  /** More than the time to spare of a job without any deadline. */
+  private static final double MISSED = Double.POSITIVE_INFINITY;
+
+  private final Map<String, Aims> byClass = new HashMap<>();
+  private final double urgentMs;
+
+  /** Jobs with less than {@code urgentSlackS} to spare are urgent. */
+  WaitingOrder(Settings settings, double urgentSlackS) {
+    urgentMs = urgentSlackS * 1000;
+    for (Settings.Objective o : settings.objectives()) {
+      Aims a =
+          byClass.computeIfAbsent(
+              o.jobClass(), c -> new Aims(new ArrayList<>(), new ArrayList<>()));
+      switch (o.kind()) {
+        case "wait" -> a.startWithinS.add(o.withinS());
+        case "finished" -> a.doneWithinS.add(o.withinS());
+        default -> {} // deadlines are the jobs' own
+      }
+    }
+  }
+
+  /** The order at a time of day. */
+  Comparator<Job> at(double wall) {
+    return Comparator.<Job>comparingInt(j -> j.priority.ordinal())
+        .thenComparingInt(j -> j.spec.service() ? 0 : 1)
+        .thenComparingInt(j -> urgency(j, wall))
+        .thenComparingDouble(WaitingOrder::workLeft)
+        .thenComparingLong(j -> j.submittedWall)
+        .thenComparing(j -> j.spec.id());
+  }
+
+  /** 0: little time to spare for some aim; 1: more than that; 2: late for all whatever is done. */
+  int urgency(Job j, double wall) {
+    Aims aims = byClass.getOrDefault(j.spec.jobClass(), NONE);
+    double end = wall + j.spec.estimateS() * 1000;
+    double spare = Math.min(spare(j.dueWall(1) - end), spare(j.dueWall(1.5) - end));
+    for (double s : aims.startWithinS) {
+      spare = Math.min(spare, spare(j.releasedWall + s * 1000 - wall));
+    }
+    for (double s : aims.doneWithinS) {
+      spare = Math.min(spare, spare(j.releasedWall + s * 1000 - end));
+    }
+    return spare < urgentMs ? 0 : spare < MISSED ? 1 : 2;
+  }
+
+  /** What is missed already is nothing to spare time for. */
+  private static double spare(double ms) {
+    return ms < 0 ? MISSED : ms;
+  }
+
+  private static double workLeft(Job j) {
+    return j.pending * j.spec.cpus() * Math.max(1, j.spec.estimateS());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/core/WaitingOrderTest.java
@@ -0,0 +1,93 @@
+package org.snowturn.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snowturn.config.Settings;
+import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.Json;
+
+/** Who goes first when not all can: starts within 2 s and 50 s, done within 250 s, deadlines. */
+class WaitingOrderTest {
+  private final WaitingOrder order = new WaitingOrder(settings(), 30);
+  private int jobs;
+
+  private static Settings settings() {
+    InetSocketAddress none = InetSocketAddress.createUnresolved("none", 1);
+    return new Settings(
+        "n",
+        "a",
+        none,
+        none,
+        List.of(),
+        none,
+        none,
+        List.of("a"),
+        List.of(),
+        List.of(
+            new Settings.Objective("wait", "c", 0.8, 1, 2),
+            new Settings.Objective("wait", "c", 0.99, 1, 50),
+            new Settings.Objective("deadline", "c", 0.95, 1, 0),
+            new Settings.Objective("finished", "c", 0.98, 1, 250)),
+        new Settings.Workers(2, 10, 30),
+        new Settings.StateLimits(100, 20, 4, 8),
+        new Settings.StateLimits(100, 20, 4, 8),
+        new Settings.CloudLimits(2, 1),
+        100);
+  }
+
+  /** A job submitted at time 0. */
+  private Job job(String jobClass, int tasks, double estimateS, double dueS) throws Exception {
+    ObjectNode o = Json.object().put("id", "wk-00000" + ++jobs).put("jobclass", jobClass);
+    o.put("owner", "t").put("shape", "batch").put("rank", "high").put("flakes", tasks);
+    o.put("cores", 1.0).put("ram_gb", 1.0).put("bundle", "i").put("size_gb", 1.0);
+    o.put("guess_s", estimateS);
+    if (dueS > 0) {
+      o.put("due_s", dueS);
+    }
+    return new Job(jobs, JobSpec.parse(o), 0, 1);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "1, 100, 400, 0", // could start at once
+    "5, 100, 400, 1", // 45 s to start in time
+    "25, 100, 400, 0", // 25 s
+    "60, 30, 400, 1", // started too late, and all else far off
+    "290, 100, 400, 0", // ten seconds for its deadline
+    "301, 100, 400, 1", // one and a half times that is far off
+    "490, 100, 400, 0",
+    "501, 100, 400, 2", // nothing left to keep
+    "90, 40, 90, 0", // late for one and a half times its deadline in 5 s
+    "140, 40, 90, 1", // late, but it can be done within 250 s
+    "190, 40, 90, 0",
+    "211, 40, 90, 2",
+  })
+  void whatCanStillBeKeptDecides(double nowS, double estimateS, double dueS, int urgency)
+      throws Exception {
+    assertEquals(urgency, order.urgency(job("c", 4, estimateS, dueS), nowS * 1000));
+  }
+
+  /** Nobody waits for it, so it is never late, and not behind what is late for all. */
+  @Test
+  void aJobWithoutAnyAimCanWait() throws Exception {
+    assertEquals(1, order.urgency(job("other", 4, 10, 0), 500_000));
+  }
+
+  @Test
+  void amongEqualsTheLeastWorkGoesFirst() throws Exception {
+    Job hopeless = job("c", 1, 40, 60);
+    Job large = job("c", 50, 100, 400);
+    Job small = job("c", 5, 100, 400);
+    Job idle = job("other", 1, 1, 0);
+    List<Job> jobs = new ArrayList<>(List.of(hopeless, idle, large, small));
+    jobs.sort(order.at(490_000));
+    assertEquals(List.of(small, large, idle, hopeless), jobs);
+  }
+}
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -92,7 +92,8 @@
         gain,
         d.idleReturnS(),
         d.bootPatience(),
-        d.sickErrors());
+        d.sickErrors(),
+        d.urgentSlackS());
   }
 
   Settings[] settings() {
