Strikes go before placements; machines' ages come from the list; more returned at once

Four a second were returned after a burst. Now a page's strikes are written first, at most once in 2 s; the age is the list's; one in a hundred surplus machines goes at a time.

--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -36,6 +36,9 @@
   /** A kind that was refused is asked for again so soon after one of ours has ended. */
   private static final long FREED_MS = 2_000;
 
+  /** In one go one surplus machine of so many is returned: after a burst there are hundreds. */
+  private static final int RETURNED_OF = 100;
+
   /** Surplus machines looked at in one go, the least used first. */
   private static final int MOST_TRIED = 8;
 
@@ -183,9 +186,10 @@
         calls.note(m.id + " is listed again");
         machines.revive(m);
       }
-      if (m.firstSeenAt == 0) {
-        m.firstSeenAt = now - (long) (c.ageS() * 1000);
-      }
+      // A new leader knows a machine's age from here only: counted from the takeover, idle machines
+      // would be kept for another minute after each change of leader.
+      long hiredAt = now - (long) (c.ageS() * 1000);
+      m.firstSeenAt = m.firstSeenAt == 0 ? hiredAt : Math.min(m.firstSeenAt, hiredAt);
       m.listedAt = now;
       m.cloudState = c.state();
       if (m.type == null) {
@@ -576,10 +580,18 @@
       }
     }
     candidates.sort(Comparator.comparingDouble(m -> m.cpusUsed));
-    for (Machine m : candidates.subList(0, Math.min(MOST_TRIED, candidates.size()))) {
+    int most = 1 + candidates.size() / RETURNED_OF;
+    int tried = 0;
+    for (Machine m : candidates) {
+      if (supply(spot) - m.shape.cpus() < target) {
+        continue;
+      }
       if (spot || replicasCanMove(m)) {
         m.returning = true;
         hold(m, -1);
+        most--;
+      }
+      if (most == 0 || ++tried == MOST_TRIED) {
         return;
       }
     }
--- a/src/main/java/org/snowturn/core/MachineRoll.java
+++ b/src/main/java/org/snowturn/core/MachineRoll.java
@@ -37,10 +37,17 @@
   /** Images change with nearly every placement at first, and a new leader can do without some. */
   private static final long IMAGES_EVERY_MS = 20_000;
 
+  private static final long STRIKES_EVERY_MS = 2_000;
+
   private static final class Page {
     final Writer.Slot slot;
     final List<Machine> machines = new ArrayList<>();
     boolean splitting;
+
+    /** Whether the stored page still has machines that were struck out. */
+    boolean struck;
+
+    long struckAt = Job.UNKNOWN;
     long imagesAt = Job.UNKNOWN;
 
     Page(Writer.Slot slot) {
@@ -224,20 +231,22 @@
       if (p.splitting || split(p)) {
         continue; // written once it is short enough
       }
-      boolean struck = false;
       boolean images = false;
       for (Iterator<Machine> it = p.machines.iterator(); it.hasNext(); ) {
         Machine m = it.next();
         if (m.gone && m.bound.isEmpty()) {
           it.remove();
           m.rollPage = -1;
-          struck = true;
+          p.struck = true;
         }
         images |= m.imagesChanged;
       }
-      if (struck) {
-        // The next leader takes what was placed there for ended: no waiting for a lease.
-        writer.mark(p.slot, Writer.SOON, null);
+      if (p.struck && calls.now() - p.struckAt > STRIKES_EVERY_MS) {
+        // The next leader takes what was placed there for ended: no waiting for a lease. Before
+        // placements, then, but not for each machine of a wave that dies one after the other.
+        p.struckAt = calls.now();
+        p.struck = false;
+        writer.mark(p.slot, URGENCY, null);
       } else if (images && calls.now() - p.imagesAt > IMAGES_EVERY_MS) {
         p.imagesAt = calls.now();
         p.machines.forEach(m -> m.imagesChanged = false);
--- a/src/main/java/org/snowturn/core/Writer.java
+++ b/src/main/java/org/snowturn/core/Writer.java
@@ -28,9 +28,6 @@
   /** Shares of the write budget left to the users of all nodes. */
   private static final double SHARE = 0.75;
 
-  /** After all placements, but before what can wait. */
-  static final int SOON = 10;
-
   /** Slots of this urgency or more can wait a while. */
   static final int CAN_WAIT = 20;
 
