Long wide arrays keep off spot machines where capacity is held; replicas find room there

The cloud takes a spot machine 0.9 times an hour, so an array of 100 tasks of 100 s on spot machines almost surely loses one and runs half as long again, while half of the ordinary machines were idle. Now an array's tasks weigh what a loss would cost the whole of it (SpotLosses learns how often machines are taken) as far as capacity is held anyway (FleetPolicy.plenty); with a notice, tasks that cannot end in time start elsewhere at once; and held ordinary machines keep a replica's room free as long as that costs nothing, since replicas stopped 3100 tasks there otherwise.

--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -69,6 +69,7 @@
   private final Placer placer;
   private final DarkZones darkZones;
   private final FleetPolicy policy;
+  private final SpotLosses spotLosses;
   private final long token;
 
   private final Map<Kind, Long> refusedUntil = new HashMap<>();
@@ -78,6 +79,7 @@
   private final double[] held = new double[2];
   private final int[] present;
   private final Map<Place, Double> heldInZone = new HashMap<>();
+  private long countedAt;
   private double budget;
   private long filledAt;
   private long nextListAt;
@@ -103,7 +105,10 @@
       Placer placer,
       DarkZones darkZones,
       FleetPolicy policy,
+      SpotLosses spotLosses,
       long token) {
+    this.spotLosses = spotLosses;
+    this.countedAt = calls.now();
     this.calls = calls;
     this.settings = settings;
     this.tunables = tunables;
@@ -234,6 +239,9 @@
     if (!m.deleting && !m.gone) {
       calls.note(m.id + " is deleted: " + why);
       m.deleting = true;
+      if (m.spot && m.suspect && m.takenAt == Long.MAX_VALUE) {
+        spotLosses.taken();
+      }
       ledger.somethingChanged();
     }
   }
@@ -287,12 +295,16 @@
     held[1] = 0;
     heldInZone.clear();
     Arrays.fill(present, 0);
+    int spotUp = 0;
     for (Machine m : machines.present()) {
       present[m.zone]++;
       if (counts(m)) {
         hold(m, 1);
+        spotUp += m.spot && m.lastReportAt != Job.UNKNOWN ? 1 : 0;
       }
     }
+    spotLosses.up(spotUp, (calls.now() - countedAt) / 1000.0);
+    countedAt = calls.now();
   }
 
   private void hold(Machine m, int sign) {
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -92,15 +92,26 @@
     graph = new JobGraph(calls, gate, ledger, writer);
     ledger.listen(graph);
     roll = new MachineRoll(calls, writer, machines, gate);
-    reports = new Reports(calls, settings, tunables, ledger, machines, catalog, token);
+    SpotLosses spotLosses = new SpotLosses();
+    reports = new Reports(calls, settings, tunables, ledger, machines, catalog, spotLosses, token);
     WaitingOrder order = new WaitingOrder(settings, tunables.urgentSlackS());
-    placer = new Placer(calls, settings, ledger, machines, policy, order);
+    placer = new Placer(calls, settings, ledger, machines, policy, order, spotLosses);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer, gate);
     darkZones = new DarkZones(machines.zoneCount());
     fleet =
         new Fleet(
-            calls, settings, tunables, catalog, machines, ledger, reports, placer, darkZones,
-            policy, token);
+            calls,
+            settings,
+            tunables,
+            catalog,
+            machines,
+            ledger,
+            reports,
+            placer,
+            darkZones,
+            policy,
+            spotLosses,
+            token);
     load();
   }
 
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -20,6 +20,9 @@
   /** Seconds of preference for machines where a task starts within what its users want. */
   private static final double LATE_START_S = 8;
 
+  /** Seconds of preference for leaving room for a replica on ordinary machines that are held. */
+  private static final double CROWDED_S = 12;
+
   /** Seconds of preference for machines that have a replica's image. */
   private static final double FETCH_S = 1;
 
@@ -43,6 +46,7 @@
   private final MachineBook machines;
   private final FleetPolicy policy;
   private final WaitingOrder order;
+  private final SpotLosses spotLosses;
   private final Map<String, Double> startWithin = new HashMap<>();
 
   /** What found no room in the present plan. */
@@ -53,14 +57,18 @@
   /** The policy's, at the present plan. */
   private double plenty;
 
+  private double largestReplica;
+
   Placer(
       Calls calls,
       Settings settings,
       Ledger ledger,
       MachineBook machines,
       FleetPolicy policy,
-      WaitingOrder order) {
+      WaitingOrder order,
+      SpotLosses spotLosses) {
     this.order = order;
+    this.spotLosses = spotLosses;
     for (Settings.Objective o : settings.objectives()) {
       if (o.kind().equals("wait")) {
         startWithin.merge(o.jobClass(), o.withinS(), Math::min);
@@ -83,7 +91,9 @@
       }
     }
     List<Job> waiting = new ArrayList<>();
+    largestReplica = 0;
     for (Job j : ledger.jobs()) {
+      largestReplica = j.spec.service() ? Math.max(largestReplica, j.spec.cpus()) : largestReplica;
       if (j.wantsRoom() && now >= j.backOffUntil) {
         waiting.add(j);
       }
@@ -276,9 +286,10 @@
       score += 2.0 * j.on(m);
       score += 0.5 * j.boundInZone[m.zone];
     } else {
-      if (!m.spot) {
-        score += ORDINARY_PENALTY_S;
-      }
+      score += m.spot ? plenty * spotRiskS(s) : ORDINARY_PENALTY_S;
+      // A replica that finds no room stops a task: room is left where that costs nothing.
+      boolean crowded = !m.spot && m.cpusFree() - s.cpus() < largestReplica;
+      score += crowded ? plenty * CROWDED_S : 0;
       score += s.estimateS() * Math.max(-0.5, m.slowness() - 1);
     }
     double free = m.cpusFree() / m.shape.cpus();
@@ -290,6 +301,16 @@
     return score;
   }
 
+  /**
+   * What an array loses by going to spot machines: one task that is taken halfway makes the whole
+   * of it late by half a run. Long and wide ones had better be elsewhere, where there is room
+   * anyway.
+   */
+  private double spotRiskS(JobSpec s) {
+    double run = Math.max(1, s.estimateS());
+    return Math.min(1, s.tasks() * run * spotLosses.perSecond()) * run / 2;
+  }
+
   private static double fetchS(JobSpec s, Machine m) {
     return s.imageGb() / Math.max(0.01, m.shape.fetchGbPerS());
   }
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -7,6 +7,7 @@
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.wire.Command;
+import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Report;
 import org.snowturn.wire.TaskReport;
 
@@ -18,6 +19,10 @@
 final class Reports {
   private static final double DRIFT = 0.001;
   private static final long LAPSE_MARGIN_MS = 600;
+
+  /** So many finished runs tell how long an array's tasks take. */
+  private static final int KNOWN_RUNS = 3;
+
   private static final long TURN_OVER_MS = 6_500;
   private final Calls calls;
   private final Settings settings;
@@ -25,6 +30,7 @@
   private final Ledger ledger;
   private final MachineBook machines;
   private final Catalog catalog;
+  private final SpotLosses spotLosses;
   private final long token;
 
   Reports(
@@ -34,7 +40,9 @@
       Ledger ledger,
       MachineBook machines,
       Catalog catalog,
+      SpotLosses spotLosses,
       long token) {
+    this.spotLosses = spotLosses;
     this.calls = calls;
     this.settings = settings;
     this.tunables = tunables;
@@ -86,6 +94,7 @@
     m.lastReportAt = calls.now();
     m.quietFrom = calls.now() + quietMs(settings);
     m.suspect = false;
+    boolean noticed = false;
     boolean mine = r.token() == token;
     if (mine && !m.acknowledged) {
       m.acknowledged = true;
@@ -94,6 +103,8 @@
     if (!Double.isNaN(r.noticeS())) {
       if (m.takenAt == Long.MAX_VALUE) {
         calls.note(m.id + " is to be taken in " + r.noticeS() + " s");
+        spotLosses.taken();
+        noticed = true;
       }
       m.takenAt = calls.now() + (long) (1000 * Math.max(0, r.noticeS()));
     }
@@ -119,9 +130,35 @@
     if (mine && m.inherited > 0) {
       releaseUnlistedInherited(m, listed);
     }
+    if (noticed) {
+      drain(m);
+    }
     return true;
   }
 
+  /**
+   * Stops the tasks that cannot end before the machine is taken: elsewhere they start anew so much
+   * sooner. Only an array whose run times are known, or an estimate far too long, tells which.
+   */
+  private void drain(Machine m) {
+    for (long ref : copy(m.bound)) {
+      Job j = ledger.job(ref);
+      int t = Ledger.task(ref);
+      if (j.spec.kind() != JobSpec.Kind.ARRAY || j.stopping.get(t)) {
+        continue;
+      }
+      double run = j.runTimes.size() >= KNOWN_RUNS ? j.median() : j.spec.estimateS() / 2;
+      double ran =
+          j.state[t] != Job.RUNNING
+              ? 0
+              : j.since[t] == Job.UNKNOWN ? run : (calls.now() - j.since[t]) / 1000.0;
+      if (calls.now() + (run - ran) * 1000 > m.takenAt) {
+        calls.note(j.spec.id() + "/" + t + " leaves " + m.id + " before it is taken");
+        ledger.stop(j, t);
+      }
+    }
+  }
+
   private void endSessionsBefore(Machine m, long session) {
     for (long ref : copy(m.bound)) {
       Job j = ledger.job(ref);
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -174,7 +174,8 @@
     n.put("cores", Double.parseDouble(o.getOrDefault("cpus", "2"))).put("cards", 0.0);
     n.put("ram_gb", 4.0).put("bundle", o.getOrDefault("image", "img")).put("size_gb", 0.5);
     n.put("same_place", o.containsKey("one-zone")).put("spread", o.containsKey("spread"));
-    n.put("loaners", !o.containsKey("ordinary")).put("guess_s", 10.0);
+    n.put("loaners", !o.containsKey("ordinary"));
+    n.put("guess_s", Double.parseDouble(o.getOrDefault("guess", "10")));
     n.put("cairn_s", 0.0).put("stash_s", 0.0);
     if (o.containsKey("awaits")) {
       var awaits = n.putArray("awaits");
@@ -403,6 +404,17 @@
             wrong.add(line + ", but " + n);
           }
         }
+        case "on-ordinary" -> {
+          long n =
+              w.workers.values().stream()
+                  .filter(x -> !x.rented.spot)
+                  .flatMap(x -> x.tasks.values().stream())
+                  .filter(t -> t.present && t.job.equals(e[2]))
+                  .count();
+          if (n != Integer.parseInt(e[3])) {
+            wrong.add(line + ", but " + n);
+          }
+        }
         case "running-outside" -> {
           long n =
               w.workers.values().stream()
