--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -301,6 +301,13 @@
       }
       case "lose-hire" -> w.cloud.loseNextHire = true;
       case "list-lag" -> w.cloud.listLagMs = ms(e[3]);
+      case "die" -> {
+        List<StandInWorker> all = List.copyOf(w.workers.values());
+        int n = Integer.parseInt(e[3]);
+        for (int i = 0; i < n; i++) {
+          w.cloud.fail(all.get(i * all.size() / n).rented);
+        }
+      }
       case "kill" -> w.cloud.fail(workerOf(w, e[3]).rented);
       case "take" -> w.cloud.end(workerOf(w, e[3]).rented.id);
       case "notice" -> {
@@ -394,15 +401,16 @@
           }
         }
         case "running" -> {
-          int n = 0;
-          for (StandInWorker x : w.workers.values()) {
-            for (StandInWorker.Task t : x.tasks.values()) {
-              n += t.present && t.job.equals(e[2]) ? 1 : 0;
+          for (String id : names(e[2])) {
+            long n =
+                w.workers.values().stream()
+                    .flatMap(x -> x.tasks.values().stream())
+                    .filter(t -> t.present && t.job.equals(id))
+                    .count();
+            if (n != Integer.parseInt(e[3])) {
+              wrong.add(line + ", but " + n + " of " + id);
             }
           }
-          if (n != Integer.parseInt(e[3])) {
-            wrong.add(line + ", but " + n);
-          }
         }
         case "on-ordinary" -> {
           long n =
