A machine on no page proves something only of records of the second format

Records of the second format are only written by versions that enter a machine before its first placement.

--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -261,7 +261,7 @@
       return;
     }
     chunk(j, chunk).stamp = stamp;
-    load(j, value, j.layout.from(chunk), t -> true);
+    load(j, value, j.layout.from(chunk), j.secondFormat, t -> true);
   }
 
   /**
@@ -276,17 +276,30 @@
         j,
         value,
         chunk * gate.spans().first(),
+        false,
         t -> {
           Writer.Slot newer = j.chunks[j.layout.recordOf(t)];
           return newer == null || newer.stamp == 0;
         });
   }
 
-  private void load(Job j, JsonNode value, int from, IntPredicate tellsOf) {
+  private void load(Job j, JsonNode value, int from, boolean secondFormat, IntPredicate tellsOf) {
     TaskRecords.read(
         value,
         from,
         new TaskRecords.Reader() {
+          /**
+           * Whether the machine is on no page of the roll. Those who write the second format enter
+           * a machine before its first placement, and strike it out only when all on it has ended
+           * for certain: what was placed there waits. Taken for bound, it would be missed for as
+           * long as a lease (zone cut, leader dies). The first version kept no roll, so its records
+           * say nothing of the kind.
+           */
+          private boolean struckOut(String machine) {
+            Machine m = machines.find(machine);
+            return secondFormat && (m == null || m.rollPage < 0);
+          }
+
           private boolean isNews(int t) {
             return t >= 0 && t < j.state.length && j.state[t] == Job.PENDING && tellsOf.test(t);
           }
@@ -302,12 +315,9 @@
 
           @Override
           public void placed(int t, long attempt, String machine, long session) {
-            Machine m = machines.find(machine);
-            // A machine is on the roll before its first placement is written, and struck out only
-            // when all on it has ended for certain: what was placed on one that is not there waits.
-            // Taken for bound, it would be missed for as long as a lease (zone cut, leader dies).
-            if (isNews(t) && m != null && m.rollPage >= 0) {
-              // An earlier leader may have answered it until now.
+            if (isNews(t) && !struckOut(machine)) {
+              Machine m = machines.getOrCreate(machine);
+              // An earlier leader may have answered it until now, whether or not it is on the roll.
               m.lastAnswerAt = Math.max(m.lastAnswerAt, calls.now());
               take(j, t, m, attempt, session);
               j.enter(t, Job.STARTING);
