--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -12,7 +12,7 @@
  * reads no clock and starts no thread, so that tests drive the very code that runs.
  */
 public final class Controller {
-  private final Calls calls = new Calls();
+  private final Calls calls;
   private final Settings settings;
   private final Tunables tunables;
   private final Catalog catalog;
@@ -25,12 +25,14 @@
    * Makes a controller that has done nothing yet.
    *
    * @param incarnation a name that no other process of this node has had
+   * @param startedMs when the process began, in milliseconds of the steady clock
    */
-  public Controller(Settings settings, Tunables tunables, String incarnation) {
+  public Controller(Settings settings, Tunables tunables, String incarnation, long startedMs) {
     this.settings = settings;
     this.tunables = tunables;
+    calls = new Calls(incarnation.hashCode());
     catalog = new Catalog(calls);
-    election = new Election(settings, tunables, calls, incarnation);
+    election = new Election(settings, tunables, calls, incarnation, startedMs);
     gate = new FormatGate(settings, calls);
     desk = new UserDesk(settings, calls, catalog, gate, election::stateHealthy);
   }
@@ -81,6 +83,7 @@
   }
 
   private void tick() {
+    calls.tick();
     catalog.tick();
     election.tick();
     gate.tick();
--- a/src/main/java/org/snowturn/core/Effect.java
+++ b/src/main/java/org/snowturn/core/Effect.java
@@ -6,6 +6,8 @@
 public sealed interface Effect {
   /** Which part of the outside a call goes to. */
   enum Target {
+    /** The state service, for what this node's authority rests on: before everything else. */
+    AUTHORITY,
     STATE,
     STATE_WATCH,
     CLOUD,
--- a/src/main/java/org/snowturn/core/Election.java
+++ b/src/main/java/org/snowturn/core/Election.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
@@ -28,10 +29,21 @@
 final class Election {
   private static final double DRIFT = 0.002;
   private static final int CALL_MS = 1500;
-  private static final long RETRY_MS = 400;
+
+  /** Failed looks and claims are repeated between these bounds: nobody leads meanwhile. */
+  private static final long RETRY_LEAST_MS = 100;
+
+  private static final long RETRY_MOST_MS = 400;
 
   private static final int PROMISE_MS = 2000;
   private static final long TELL_MS = 300;
+
+  /** While peers wait to hear that this node does not lead. */
+  private static final long TELL_NEW_MS = 100;
+
+  /** A tick that comes so late means that replies have been waiting here, not there. */
+  private static final long LATE_TICK_MS = 500;
+
   private static final long PROBE_MS = 700;
 
   /** Without a good reply for this long, this node counts as having lost the state service. */
@@ -57,6 +69,8 @@
   private final Calls calls;
   private final String incarnation;
   private final long ttlMs;
+  private final long startedAt;
+  private final Backoff backoff;
 
   private Role role = Role.LOOKING;
   private long nextAt;
@@ -73,7 +87,8 @@
   private long holdOffUntil;
   private long generation;
 
-  private long quietUntil = Job.UNKNOWN;
+  private long tickedAt = Job.UNKNOWN;
+  private long lateAt = Job.UNKNOWN;
   private boolean quiet = true;
   private final Set<String> notLeading = new HashSet<>();
   private long promisedUntil = Job.UNKNOWN;
@@ -90,7 +105,15 @@
   private long stateOkAt = Job.UNKNOWN;
   private final Map<String, Long> peerStateOkAt = new HashMap<>();
 
-  Election(Settings settings, Tunables tunables, Calls calls, String incarnation) {
+  /**
+   * Stands for nothing yet.
+   *
+   * @param startedAt when this process began, in milliseconds of the steady clock: whatever its
+   *     predecessor on this node has promised was promised before that
+   */
+  Election(Settings settings, Tunables tunables, Calls calls, String incarnation, long startedAt) {
+    this.startedAt = startedAt;
+    this.backoff = calls.backoff(RETRY_LEAST_MS, RETRY_MOST_MS);
     this.settings = settings;
     this.calls = calls;
     this.incarnation = incarnation;
@@ -155,9 +178,11 @@
 
   void tick() {
     long now = calls.now();
-    if (quietUntil == Job.UNKNOWN) {
-      quietUntil = now + PROMISE_MS + 200;
+    if (tickedAt != Job.UNKNOWN && now - tickedAt > LATE_TICK_MS) {
+      lateAt = now;
     }
+    tickedAt = now;
+    long quietUntil = startedAt + PROMISE_MS + 200;
     quiet = quiet && now < quietUntil && notLeading.size() < settings.peers().size();
     probe();
     tell();
@@ -192,7 +217,7 @@
     probing = true;
     long sentAt = calls.now();
     probeAt = sentAt + PROBE_MS;
-    calls.state(
+    calls.authority(
         "GET",
         "/kv/" + Keys.LEADER,
         null,
@@ -214,7 +239,8 @@
     if (now < tellAt) {
       return;
     }
-    tellAt = now + TELL_MS;
+    boolean isNew = now < startedAt + PROMISE_MS + 200 && role != Role.LEADING;
+    tellAt = now + (isNew ? TELL_NEW_MS : TELL_MS);
     if (role != Role.LEADING) {
       calls.toPeers(new PeerRecord.Status(settings.node(), stateOkNow()));
       return;
@@ -255,6 +281,9 @@
    */
   private void asked(PeerRecord.Ask a) {
     heardOfState(a.from(), !a.trouble());
+    if (role != Role.LEADING && a.token() >= knownToken) {
+      knownLeader = a.from(); // only for workers to be sent there: a hint
+    }
     boolean mayClaim =
         role == Role.LEADING || role == Role.CLAIMING || role == Role.LEASING || claimInDoubt;
     if (mayClaim || a.token() < knownToken) {
@@ -275,7 +304,10 @@
     // Counted from when the request was sent: the peer counts from when it arrived.
     long until = sentAt + (long) (p.durationMs() * (1 - DRIFT)) - 20;
     promises.merge(p.from(), until, Math::max);
-    boolean lost = renewFailingSince != Job.UNKNOWN && calls.now() - renewFailingSince > RESIGN_MS;
+    // A node that is behind with its work has not heard replies that were there.
+    boolean behind = calls.now() - RESIGN_MS < lateAt;
+    boolean lost =
+        !behind && renewFailingSince != Job.UNKNOWN && calls.now() - renewFailingSince > RESIGN_MS;
     if (lost && p.stateOk()) {
       resign("the state service answers " + p.from() + " but not this node");
     }
@@ -288,12 +320,18 @@
   private void retryLater(Role next) {
     role = next;
     busy = false;
-    nextAt = calls.now() + RETRY_MS;
+    nextAt = calls.now() + backoff.next(calls.retryAfterMs());
+  }
+
+  private void lookAgain() {
+    role = Role.LOOKING;
+    busy = false;
+    nextAt = calls.now();
   }
 
   private void look() {
     busy = true;
-    calls.state(
+    calls.authority(
         "GET",
         "/kv?prefix=" + Keys.LEADER_PREFIX + "&most=5",
         null,
@@ -306,6 +344,7 @@
           }
           try {
             watchFrom = StateMessage.epoch(body);
+            backoff.reset();
             List<StateMessage.Entry> found = StateMessage.entries(body);
             if (found.isEmpty()) {
               vacant();
@@ -332,19 +371,22 @@
 
   private void endLease(long id) {
     busy = true;
-    calls.state(
+    calls.authority(
         "DELETE",
         "/leases/" + id,
         null,
         CALL_MS,
         (outcome, status, body) -> {
           if (outcome != Outcome.ANSWERED && claimInDoubt) {
-            busy = false;
-            endLease(id);
+            calls.again(backoff, () -> endLease(id)); // busy until then
             return;
           }
           claimInDoubt = false;
-          retryLater(Role.LOOKING);
+          if (outcome == Outcome.ANSWERED) {
+            lookAgain();
+          } else {
+            retryLater(Role.LOOKING);
+          }
         });
   }
 
@@ -358,7 +400,7 @@
     if (r.token() >= knownToken) {
       promisedUntil = Job.UNKNOWN; // the one it was given to has released us
     }
-    calls.state("DELETE", "/leases/" + r.lease(), null, CALL_MS, (o, s, b) -> {});
+    calls.authority("DELETE", "/leases/" + r.lease(), null, CALL_MS, (o, s, b) -> {});
   }
 
   private void vacant() {
@@ -371,7 +413,7 @@
   private void askLease() {
     busy = true;
     leaseSentAt = calls.now();
-    calls.state(
+    calls.authority(
         "POST",
         "/leases",
         StateMessage.lease(ttlMs),
@@ -407,7 +449,7 @@
     JsonNode txn =
         StateMessage.txn(
             List.of(new Condition(Keys.LEADER, 0)), List.of(new Change(Keys.LEADER, value, lease)));
-    calls.state(
+    calls.authority(
         "POST",
         "/txn",
         txn,
@@ -428,6 +470,10 @@
             endLease(lease);
             return;
           }
+          if (outcome == Outcome.ANSWERED && status == 409) {
+            lookAgain(); // another node was first
+            return;
+          }
           retryLater(Role.LOOKING);
         });
   }
@@ -456,7 +502,7 @@
     renewing = true;
     long sentAt = calls.now();
     long mine = generation;
-    calls.state(
+    calls.authority(
         "POST",
         "/leases/" + lease + "/renew",
         null,
@@ -501,7 +547,7 @@
     stepDown(why);
     nextAt = calls.now() + 1000;
     calls.toPeers(new PeerRecord.Resign(settings.node(), old, token));
-    calls.state("DELETE", "/leases/" + old, null, CALL_MS, (o, s, b) -> {});
+    calls.authority("DELETE", "/leases/" + old, null, CALL_MS, (o, s, b) -> {});
   }
 
   private void watch() {
--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/Fleet.java
@@ -672,6 +672,7 @@
       boolean idle =
           m.returning
               && m.bound.isEmpty()
+              && m.unaccounted == 0
               && now - m.firstSeenAt > PAID_MS - 5_000
               && now - m.idleSince > tunables.idleReturnS() * 1000;
       if (idle) {
--- a/src/main/java/org/snowturn/core/Input.java
+++ b/src/main/java/org/snowturn/core/Input.java
@@ -9,8 +9,19 @@
   /** Time has passed. */
   record Tick() implements Input {}
 
-  /** A reply, or the lack of one, to the outside call with this id. */
-  record Reply(long call, Outcome outcome, int status, JsonNode body) implements Input {}
+  /**
+   * A reply, or the lack of one, to the outside call with this id.
+   *
+   * @param retryAfterMs when the other side asked to be called again, in milliseconds; 0 if it did
+   *     not say
+   */
+  record Reply(long call, Outcome outcome, int status, JsonNode body, long retryAfterMs)
+      implements Input {
+    /** A reply that does not say when to come back. */
+    public Reply(long call, Outcome outcome, int status, JsonNode body) {
+      this(call, outcome, status, body, 0);
+    }
+  }
 
   /** A worker reports; the answer goes to this exchange. */
   record CheckIn(long exchange, Report report) implements Input {}
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -1,14 +1,10 @@
 package org.snowturn.core;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.wire.Command;
@@ -50,15 +46,13 @@
   private final MachineRoll roll;
   private final FormatGate gate;
   private final JobGraph graph;
+  private final Takeover takeover;
   private final Map<String, PeerRecord.Progress> told = new HashMap<>();
   private final ArrayDeque<Outbox> toSend = new ArrayDeque<>();
-  private List<StateMessage.Entry> loadedJobs = List.of();
-  private List<StateMessage.Entry> loadedParts = List.of();
   private boolean secondFormat;
   private long outboxLooks;
   private boolean reported;
   private int sweepsUnheard;
-  private boolean loaded;
   private boolean watching;
   private boolean ended;
   private long watchFrom;
@@ -95,7 +89,8 @@
     SpotLosses spotLosses = new SpotLosses();
     reports = new Reports(calls, settings, tunables, ledger, machines, catalog, spotLosses, token);
     WaitingOrder order = new WaitingOrder(settings, tunables.urgentSlackS());
-    placer = new Placer(calls, settings, ledger, machines, policy, order, spotLosses);
+    placer =
+        new Placer(calls, settings, ledger, machines, policy, order, spotLosses, this::mostHeard);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer, gate);
     darkZones = new DarkZones(machines.zoneCount());
     fleet =
@@ -112,7 +107,22 @@
             policy,
             spotLosses,
             token);
-    load();
+    takeover =
+        new Takeover(
+            calls,
+            settings,
+            catalog,
+            gate,
+            ledger,
+            machines,
+            roll,
+            this::loadRestarts,
+            () -> ended);
+    takeover.begin(this::loaded);
+  }
+
+  private boolean mostHeard() {
+    return takeover.mostHeard();
   }
 
   /** Nothing of this term may act any more. */
@@ -125,6 +135,11 @@
     return !ended && election.hasAuthority() && election.token() == token;
   }
 
+  @Override
+  public boolean over() {
+    return ended;
+  }
+
   @Override
   public long token() {
     return token;
@@ -167,140 +182,29 @@
     g.put("snowturn.placements", (double) ledger.placements());
     g.put("snowturn.placements.looks", (double) placer.looks());
     g.put("snowturn.outboxes.looks", (double) outboxLooks);
+    g.put("snowturn.starts.repeated", (double) reports.repeatedStarts());
+    g.putAll(takeover.gauges());
     return g;
   }
 
   // --- reading what earlier leaders left ---
 
-  private void load() {
-    // First of all the gate: it tells in which format the records are that are to be written.
-    gate.look(() -> read(Keys.ROLL, ms -> loadRoll(ms)));
-  }
-
-  private void read(String prefix, Consumer<Loader.Range> then) {
-    new Loader(calls)
-        .read(
-            prefix,
-            range -> {
-              if (!ended) {
-                then.accept(range);
-              }
-            });
-  }
-
-  private void loadRoll(Loader.Range pages) {
-    pages.entries().forEach(e -> roll.load(e, this::loaded));
-    read(
-        Keys.PARTS,
-        parts -> {
-          loadedParts = parts.entries();
-          read(
-              Keys.JOBS,
-              js -> {
-                watchFrom = js.epoch();
-                loadedJobs = js.entries();
-                read(
-                    Keys.TASKS2,
-                    newer ->
-                        read(
-                            Keys.TASKS,
-                            older -> read(Keys.RESTARTS, ss -> loaded(newer, older, ss))));
-              });
-        });
-  }
-
-  private void loaded(Machine m) {
-    m.shape = catalog.get(m.type);
-    m.imagesChanged = false;
-    m.lastAnswerAt = Math.max(m.lastAnswerAt, startedAt);
-    m.firstSeenAt = startedAt;
-    m.recorded = true;
-  }
-
-  private void loaded(Loader.Range newer, Loader.Range older, Loader.Range restarts) {
-    loadJobs();
-    List<StateMessage.Change> orphans = new ArrayList<>();
-    loadTasks(newer, Keys.TASKS2, orphans);
-    loadTasks(older, Keys.TASKS, orphans);
-    for (StateMessage.Entry e : restarts.entries()) {
-      Job j = ledger.job(e.key().substring(Keys.RESTARTS.length()));
-      if (j != null) {
-        RestartRecords.load(j, e.value());
-        speculator.loaded(j, e.stamp());
-      }
-    }
-    ledger.dropLater(orphans);
-    for (Job j : ledger.jobs()) {
-      if (j.cancelled) {
-        for (int t = 0; t < j.state.length; t++) {
-          if (j.isBound(t)) {
-            ledger.stop(j, t);
+  /** All records are known: what machines have reported meanwhile is taken in at once. */
+  private void loaded(Map<Machine, Report> early) {
+    watchFrom = takeover.watchFrom();
+    early.forEach(
+        (m, r) -> {
+          if (!m.gone) {
+            take(m, r);
           }
-        }
-      }
-    }
-    loaded = true;
-    int bound = 0;
-    for (Job j : ledger.jobs()) {
-      bound += j.bound;
-    }
-    calls.note(
-        "took over "
-            + ledger.jobs().size()
-            + " jobs, "
-            + bound
-            + " tasks on machines, in "
-            + (calls.now() - startedAt)
-            + " ms");
-    // Ask the machines at once what they run: their reports may take a while to find this node.
-    for (Machine m : machines.present()) {
-      for (long ref : Reports.copy(m.bound)) {
-        m.session = Math.max(m.session, ledger.job(ref).session[Ledger.task(ref)]);
-      }
-      if (m.addr != null) {
-        m.outbox.ask();
-      }
-    }
-    ledger.retryFinishing();
-  }
-
-  private void loadJobs() {
-    Map<String, String> texts = StoredJob.texts(loadedParts);
-    Set<String> used = new HashSet<>();
-    for (StateMessage.Entry e : loadedJobs) {
-      try {
-        String id = e.key().substring(Keys.JOBS.length());
-        StoredJob stored = StoredJob.parse(e.value());
-        List<String> parts = StoredJob.partKeys(id, stored.submission(), stored.parts());
-        used.addAll(parts);
-        if (stored.incomplete() && texts.keySet().containsAll(parts)) {
-          ledger.recordWith(id, stored, e.stamp(), texts);
-        } else {
-          ledger.record(id, stored, e.stamp());
-        }
-      } catch (MalformedException ex) {
-        calls.note("unusable record " + e.key() + ": " + ex.getMessage());
-      }
-    }
-    ledger.dropUnusedParts(loadedParts, used);
-    loadedJobs = List.of();
-    loadedParts = List.of();
+        });
   }
 
-  private void loadTasks(Loader.Range range, String prefix, List<StateMessage.Change> orphans) {
-    boolean older = gate.open() && prefix.equals(Keys.TASKS);
-    for (StateMessage.Entry e : range.entries()) {
-      String rest = e.key().substring(prefix.length());
-      int slash = rest.lastIndexOf('/');
-      Job j = ledger.job(rest.substring(0, slash));
-      int chunk = Integer.parseInt(rest.substring(slash + 1));
-      if (j == null) {
-        orphans.add(StateMessage.Change.delete(e.key()));
-      } else if (older) {
-        ledger.loadOlderChunk(j, chunk, e.value(), e.stamp());
-      } else {
-        ledger.loadChunk(j, chunk, e.value(), e.stamp());
-      }
+  private void loadRestarts(String job, StateMessage.Entry e) {
+    Job j = ledger.job(job);
+    if (j != null) {
+      RestartRecords.load(j, e.value());
+      speculator.loaded(j, e.stamp());
     }
   }
 
@@ -358,7 +262,7 @@
   /** The watch's past is gone: read all jobs again. */
   private void reread() {
     watching = true;
-    new Loader(calls)
+    new Loader(calls, () -> ended)
         .read(
             Keys.JOBS,
             js -> {
@@ -387,7 +291,8 @@
       calls.refuse(exchange, 503, 0);
       return;
     }
-    if (!loaded) {
+    if (!takeover.loaded()) {
+      takeover.keep(m, r);
       m.lastAnswerAt = calls.now();
       calls.answer(exchange, 200, Command.answer(token, List.of()));
       return;
@@ -402,7 +307,7 @@
   @Override
   public void reported(Report r) {
     Machine m = machines.find(r.machine());
-    if (!ended && loaded && m != null && !m.gone) {
+    if (!ended && takeover.loaded() && m != null && !m.gone) {
       m.probing = false;
       take(m, r);
     }
@@ -428,6 +333,7 @@
           });
     }
     reports.apply(m, r);
+    takeover.heard(m);
   }
 
   @Override
@@ -440,6 +346,7 @@
     // Commands count as well as probes: a dead machine with free room is given new ones again and
     // again, and would never be probed.
     m.blockedUntil = Math.max(m.blockedUntil, calls.now() + UNANSWERED_MS);
+    takeover.unanswered(m);
     if (m.probing || (hasBeenUp(m) && quiet(m))) {
       m.probing = false;
       if (m.suspect && m.lastReportAt != Job.UNKNOWN && replaceable()) {
@@ -449,6 +356,15 @@
     }
   }
 
+  /**
+   * Whether a machine that this leader has not heard yet may be replaced: asked in vain, or silent
+   * for longer than its way to a new leader takes.
+   */
+  private boolean neverHeard(Machine m) {
+    boolean turnedOver = calls.now() - startedAt > Reports.turnOverMs(settings);
+    return (turnedOver || takeover.askedInVain(m)) && darkZones.inReach();
+  }
+
   /** Whether silence is the machines' own, as the last sweep had it. */
   private boolean replaceable() {
     return calls.now() - startedAt > Reports.turnOverMs(settings) && darkZones.inReach();
@@ -463,7 +379,7 @@
   private boolean quiet(Machine m) {
     return m.lastReportAt != Job.UNKNOWN
         ? calls.now() > m.quietFrom
-        : calls.now() - startedAt > Reports.turnOverMs(settings);
+        : takeover.askedInVain(m) || calls.now() - startedAt > Reports.turnOverMs(settings);
   }
 
   private void sweep() {
@@ -484,20 +400,18 @@
         continue;
       }
       boolean quiet = quiet(m);
-      darkZones.count(m, quiet);
+      if (quiet || m.lastReportAt != Job.UNKNOWN) {
+        darkZones.count(m, quiet);
+      }
       if (m.lastReportAt == Job.UNKNOWN) {
         if (!quiet) {
-          // The first question may have been lost in the crowd of a takeover.
-          if (m.addr != null && m.outbox.idle() && now >= m.blockedUntil) {
-            m.outbox.ask();
-          }
           continue;
         }
         if (m.bound.isEmpty()
             && now - startedAt > 2 * Reports.lapseMs(settings)
             && m.listedAt == Job.UNKNOWN) {
           machines.retire(m);
-        } else if (replaceable()) {
+        } else if (neverHeard(m)) {
           fleet.discard(m, "not heard of since the change of leader");
         }
         continue;
@@ -521,6 +435,7 @@
       election.resign("most machines are out of reach");
     }
     roll.sweep();
+    takeover.sweep();
   }
 
   /**
@@ -542,7 +457,11 @@
   // --- the loop ---
 
   void tick() {
-    if (!loaded || ended) {
+    if (ended) {
+      return;
+    }
+    takeover.tick();
+    if (!takeover.loaded()) {
       return;
     }
     long now = calls.now();
@@ -586,7 +505,7 @@
     if (ended) {
       return;
     }
-    if (loaded) {
+    if (takeover.loaded()) {
       graph.step();
     }
     writer.flush();
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -56,8 +57,12 @@
   /** Jobs that were over lately: what a watch still tells of their records is old. */
   private final Map<String, Boolean> ended = new Recent<>(REMEMBERED);
 
+  /** Jobs of which a record cannot be read: they are left as they are. */
+  private final Set<String> aside = new HashSet<>();
+
   private long attempts;
   private long placements;
+  private int inherited;
   private final int[] boundBy = new int[Priority.values().length];
   private boolean changed = true;
   private Listener listener;
@@ -112,6 +117,12 @@
     if (ended.containsKey(id)) {
       return; // else it would be ended once more, at the cost of changes that fail
     }
+    if (aside.contains(id)) {
+      if (stored.phase() != JobView.Phase.ABORTED) {
+        return;
+      }
+      aside.remove(id); // cancelled: whatever runs of it may be stopped
+    }
     Job j = jobs.get(id);
     if (j == null && stored.incomplete()) {
       readParts(id, stored, stamp);
@@ -145,7 +156,7 @@
       return;
     }
     partsWanted.put(id, stamp);
-    new Loader(calls)
+    new Loader(calls, () -> false)
         .read(
             Keys.parts(id, stored.submission()),
             range -> {
@@ -323,6 +334,7 @@
               j.enter(t, Job.STARTING);
               j.inherited.set(t);
               m.inherited++;
+              inherited++;
               m.touchImage(j.spec.image(), j.spec.imageGb());
             }
           }
@@ -399,7 +411,37 @@
     if (j.inherited.get(t)) {
       j.inherited.clear(t);
       machines.get(j.machine[t]).inherited--;
+      inherited--;
+    }
+  }
+
+  /** How many tasks that an earlier leader placed are neither seen under this token nor ended. */
+  int inherited() {
+    return inherited;
+  }
+
+  /**
+   * Leaves a job alone of which a record cannot be read. What has been taken in of it is let go: no
+   * room is counted for it, and its machines get nothing new while they list its tasks.
+   */
+  void setAside(String id) {
+    aside.add(id);
+    Job j = jobs.remove(id);
+    if (j == null) {
+      return;
     }
+    listener.over(j, null);
+    for (int t = 0; t < j.state.length; t++) {
+      if (j.isBound(t)) {
+        unbind(j, t);
+      }
+    }
+    byIndex.set(j.index, null);
+    changed = true;
+  }
+
+  boolean isAside(String id) {
+    return aside.contains(id);
   }
 
   /** A job has the priority of the most urgent one that needs it. */
@@ -617,7 +659,9 @@
       }
     }
     j.olderChunks.forEach(s -> dropIfStored(s, drops));
-    int now = Math.min(drops.size(), Math.max(0, gate.limits().txnOps() - apply.size()));
+    // Where many jobs end together, what is only to be cleared away leaves the rate to others.
+    int most = writer.pressed() ? 0 : gate.limits().txnOps() - apply.size();
+    int now = Math.min(drops.size(), Math.max(0, most));
     apply.addAll(drops.subList(0, now));
     List<Change> later = drops.subList(now, drops.size());
     // Others may wait for a result; an abortion has been told already.
--- a/src/main/java/org/snowturn/core/Loader.java
+++ b/src/main/java/org/snowturn/core/Loader.java
@@ -3,17 +3,31 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
 
-/** Reads whole ranges of the state service, page by page, until it has them. */
+/**
+ * Reads whole ranges of the state service, page by page, until it has them. What fails is tried
+ * again ever later: at once, a refusal (429, 503) would become a loop at the network's speed.
+ */
 final class Loader {
   private static final int PAGE = 500;
   private final Calls calls;
+  private final Backoff backoff;
+  private final BooleanSupplier over;
 
-  Loader(Calls calls) {
+  /**
+   * Has read nothing yet.
+   *
+   * @param over whether nobody wants to know any more: nothing is tried again then
+   */
+  Loader(Calls calls, BooleanSupplier over) {
+    this.over = over;
     this.calls = calls;
+    this.backoff = calls.backoff();
   }
 
   /** All keys of a range; {@code epoch} is the oldest revision that any page showed. */
@@ -45,7 +59,9 @@
               calls.note("unusable page of " + prefix + ": " + e.getMessage());
             }
           }
-          page(prefix, since, sofar, epoch, then);
+          if (!over.getAsBoolean()) {
+            calls.again(backoff, () -> page(prefix, since, sofar, epoch, then));
+          }
         });
   }
 
@@ -58,6 +74,7 @@
       throws MalformedException {
     List<StateMessage.Entry> got = StateMessage.entries(body);
     long oldest = Math.min(epoch, StateMessage.epoch(body));
+    backoff.reset();
     sofar.addAll(got);
     if (StateMessage.more(body) && !got.isEmpty()) {
       page(prefix, got.get(got.size() - 1).key(), sofar, oldest, then);
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -60,6 +60,9 @@
   double memoryUsed;
   final LongHashSet bound = new LongHashSet();
 
+  /** Tasks that run there of jobs that are left alone since a record cannot be read. */
+  int unaccounted;
+
   /** How many of them an earlier leader bound and this one has not seen yet. */
   int inherited;
 
@@ -163,11 +166,18 @@
     if (!recorded) {
       return "unrecorded";
     }
+    if (unaccounted > 0) {
+      return "unaccounted";
+    }
     return shape == null || now < blockedUntil ? "blocked" : null;
   }
 
   void touchImage(String image, double gb) {
-    imagesChanged |= images.put(image, gb) == null;
+    if (images.get(image) != null) {
+      return; // and it is the last used one now
+    }
+    images.put(image, gb);
+    imagesChanged = true;
     double total = 0;
     for (double g : images.values()) {
       total += g;
--- a/src/main/java/org/snowturn/core/Outbox.java
+++ b/src/main/java/org/snowturn/core/Outbox.java
@@ -19,6 +19,8 @@
   /** A machine that only has to say that it is there answers sooner. */
   private static final int ASK_TIMEOUT_MS = 1000;
 
+  private static final long FIRST_SESSION = 1;
+
   /** What the outbox needs of the leader. */
   interface Host {
     boolean hasAuthority();
@@ -106,7 +108,9 @@
         doubts.add(doubt(c.attempt(), c.task()));
       }
     }
-    long session = machine.session;
+    // Not known of a machine on which an earlier leader had nothing: most are in their first, and
+    // the others refuse and tell.
+    long session = Math.max(FIRST_SESSION, machine.session);
     calls.call(
         Effect.Target.WORKER,
         machine.addr,
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
 import org.snowturn.wire.JobSpec;
 
@@ -47,6 +48,7 @@
   private final FleetPolicy policy;
   private final WaitingOrder order;
   private final SpotLosses spotLosses;
+  private final BooleanSupplier mayStop;
   private final Map<String, Double> startWithin = new HashMap<>();
 
   /** What found no room in the present plan. */
@@ -59,6 +61,12 @@
 
   private double largestReplica;
 
+  /**
+   * Decides nothing yet.
+   *
+   * @param mayStop whether work may be stopped to make room: not while free room may be on machines
+   *     that a new leader has not heard yet
+   */
   Placer(
       Calls calls,
       Settings settings,
@@ -66,7 +74,9 @@
       MachineBook machines,
       FleetPolicy policy,
       WaitingOrder order,
-      SpotLosses spotLosses) {
+      SpotLosses spotLosses,
+      BooleanSupplier mayStop) {
+    this.mayStop = mayStop;
     this.order = order;
     this.spotLosses = spotLosses;
     for (Settings.Objective o : settings.objectives()) {
@@ -342,7 +352,7 @@
 
   /** Makes room, or waits for room being made, on a machine that has a new service's image. */
   private boolean roomWithImage(Job j, List<Machine> usable) {
-    if (calls.wall() - j.releasedWall > IMAGE_PATIENCE_MS) {
+    if (calls.wall() - j.releasedWall > IMAGE_PATIENCE_MS || !mayStop.getAsBoolean()) {
       return false;
     }
     if (calls.now() < j.roomUntil) {
@@ -403,7 +413,9 @@
     if (now < j.roomUntil) {
       return true; // room is being made already; see what it brings first
     }
-    if (ledger.boundBelow(j.priority) == 0 || !ledger.quota().allows(j.spec)) {
+    if (!mayStop.getAsBoolean()
+        || ledger.boundBelow(j.priority) == 0
+        || !ledger.quota().allows(j.spec)) {
       return false;
     }
     List<Room> rooms = new ArrayList<>();
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/Reports.java
@@ -6,6 +6,10 @@
 import org.agrona.collections.LongHashSet;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.recovery.Squaring;
+import org.snowturn.core.recovery.Squaring.Seen;
+import org.snowturn.core.recovery.Squaring.Stored;
+import org.snowturn.core.recovery.Squaring.Verdict;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Report;
@@ -32,6 +36,7 @@
   private final Catalog catalog;
   private final SpotLosses spotLosses;
   private final long token;
+  private long repeatedStarts;
 
   Reports(
       Calls calls,
@@ -108,27 +113,25 @@
       }
       m.takenAt = calls.now() + (long) (1000 * Math.max(0, r.noticeS()));
     }
+    int unaccounted = 0;
     LongHashSet listed = new LongHashSet();
     for (TaskReport t : r.tasks()) {
       Job j = ledger.job(t.job());
       if (j == null || t.task() >= j.state.length) {
+        unaccounted += isAside(t) ? 1 : 0;
         continue;
       }
-      if (j.isBound(t.task())
-          && j.machine[t.task()] == m.index
-          && j.attempt[t.task()] == t.attempt()
-          && j.state[t.task()] != Job.PLACING) {
+      Verdict v = Squaring.of(listed(m, r, t, j));
+      if (here(m, j, t)) {
         listed.add(Job.ref(j.index, t.task()));
-        seen(m, j, t, mine);
-      } else if (mine
-          && t.why() == TaskReport.Why.DONE
-          && j.state[t.task()] == Job.PENDING
-          && !j.cancelled) {
+        seen(m, j, t, v, mine);
+      } else if (v == Verdict.COMPLETE) {
         ledger.complete(j, t.task());
       }
     }
+    m.unaccounted = unaccounted;
     if (mine && m.inherited > 0) {
-      releaseUnlistedInherited(m, listed);
+      releaseUnlisted(m, r, listed);
     }
     if (noticed) {
       drain(m);
@@ -169,16 +172,81 @@
     }
   }
 
-  private void releaseUnlistedInherited(Machine m, LongHashSet listed) {
+  private void releaseUnlisted(Machine m, Report r, LongHashSet listed) {
     for (long ref : copy(m.bound)) {
       Job j = ledger.job(ref);
       int t = Ledger.task(ref);
-      if (j.inherited.get(t) && !listed.contains(ref) && j.session[t] <= m.session) {
+      if (!listed.contains(ref) && Squaring.of(unlisted(r, j, t)) == Verdict.RELEASE) {
         ledger.release(j, t);
       }
     }
   }
 
+  // --- stored state and reports, in the terms of the table ---
+
+  private static boolean here(Machine m, Job j, TaskReport r) {
+    int t = r.task();
+    return j.isBound(t) && j.machine[t] == m.index && j.attempt[t] == r.attempt();
+  }
+
+  /** Whether the task is alive and its job is one that is left alone. */
+  private boolean isAside(TaskReport t) {
+    return t.state() != TaskReport.State.ENDED && ledger.isAside(t.job());
+  }
+
+  private static Stored stored(Job j, int t) {
+    return j.state[t] == Job.PLACING
+        ? Stored.PLACING
+        : j.inherited.get(t) ? Stored.INHERITED : Stored.STARTED;
+  }
+
+  private static Squaring.Session session(long reported, long placed) {
+    return reported == placed
+        ? Squaring.Session.SAME
+        : reported > placed ? Squaring.Session.LATER : Squaring.Session.EARLIER;
+  }
+
+  /** What the table is asked of a task that is on the report; {@code j} is null if unknown. */
+  private Squaring.Case listed(Machine m, Report r, TaskReport t, Job j) {
+    Seen seen =
+        t.state() != TaskReport.State.ENDED
+            ? Seen.ALIVE
+            : t.why() == TaskReport.Why.DONE ? Seen.DONE : Seen.ENDED;
+    boolean ours = r.token() == token;
+    if (j != null && here(m, j, t)) {
+      return new Squaring.Case(
+          stored(j, t.task()),
+          seen,
+          session(r.session(), j.session[t.task()]),
+          ours,
+          j.stopping.get(t.task()),
+          false);
+    }
+    Stored stored =
+        j == null
+            ? Stored.NOTHING
+            : j.state[t.task()] == Job.DONE
+                ? Stored.FINISHED
+                : j.state[t.task()] == Job.PENDING && !j.cancelled
+                    ? Stored.WAITING
+                    : Stored.ELSEWHERE;
+    boolean settled =
+        !m.startsInDoubt.contains(Outbox.doubt(t.attempt(), t.task()))
+            && ledger.forgettable(t.job(), t.task(), t.attempt());
+    return new Squaring.Case(stored, seen, Squaring.Session.SAME, ours, false, settled);
+  }
+
+  /** What the table is asked of a task that should be there and is not on the report. */
+  private Squaring.Case unlisted(Report r, Job j, int t) {
+    return new Squaring.Case(
+        stored(j, t),
+        Seen.ABSENT,
+        session(r.session(), j.session[t]),
+        r.token() == token,
+        j.stopping.get(t),
+        false);
+  }
+
   static long[] copy(LongHashSet set) {
     LongArrayList out = new LongArrayList(set.size(), Long.MIN_VALUE);
     LongHashSet.LongIterator it = set.iterator();
@@ -188,7 +256,7 @@
     return out.toLongArray();
   }
 
-  private void seen(Machine m, Job j, TaskReport r, boolean mine) {
+  private void seen(Machine m, Job j, TaskReport r, Verdict v, boolean mine) {
     int t = r.task();
     switch (r.state()) {
       case FETCHING -> j.enter(t, Job.FETCHING);
@@ -213,7 +281,7 @@
         m.touchImage(j.spec.image(), j.spec.imageGb());
       }
       case ENDED -> {
-        if (mine) {
+        if (v == Verdict.COMPLETE || v == Verdict.RELEASE) {
           ended(m, j, t, r.why());
         }
       }
@@ -274,6 +342,11 @@
     ledger.release(j, t);
   }
 
+  /** How many starts were sent again in answers, since a report did not list them. */
+  long repeatedStarts() {
+    return repeatedStarts;
+  }
+
   /** What the worker is to do, by what it has just reported. */
   List<Command> orders(Machine m, Report r) {
     List<Command> out = new ArrayList<>();
@@ -282,38 +355,36 @@
     }
     LongHashSet listed = new LongHashSet();
     for (TaskReport t : r.tasks()) {
-      Job j = ledger.job(t.job());
-      boolean known = j != null && t.task() < j.state.length;
-      boolean bound =
-          known
-              && j.isBound(t.task())
-              && j.machine[t.task()] == m.index
-              && j.attempt[t.task()] == t.attempt();
-      if (bound) {
+      if (isAside(t)) {
+        continue;
+      }
+      Job named = ledger.job(t.job());
+      Job j = named != null && t.task() < named.state.length ? named : null;
+      boolean here = j != null && here(m, j, t);
+      if (here) {
         listed.add(Job.ref(j.index, t.task()));
-        if (j.stopping.get(t.task()) && t.state() != TaskReport.State.ENDED) {
-          out.add(ledger.stopCommand(j, t.task()));
-        }
-      } else if (t.state() != TaskReport.State.ENDED) {
-        out.add(new Command(Command.Op.STOP, t.job(), t.task(), t.attempt(), 0));
-      } else if (r.token() == token
-          && !m.startsInDoubt.contains(Outbox.doubt(t.attempt(), t.task()))
-          && ledger.forgettable(t.job(), t.task(), t.attempt())) {
-        out.add(new Command(Command.Op.FORGET, t.job(), t.task(), t.attempt(), 0));
+      }
+      switch (Squaring.of(listed(m, r, t, j))) {
+        case STOP ->
+            out.add(
+                here
+                    ? ledger.stopCommand(j, t.task())
+                    : new Command(Command.Op.STOP, t.job(), t.task(), t.attempt(), 0));
+        case FORGET -> out.add(new Command(Command.Op.FORGET, t.job(), t.task(), t.attempt(), 0));
+        default -> {}
       }
     }
     for (long ref : copy(m.bound)) {
       Job j = ledger.job(ref);
       int t = Ledger.task(ref);
-      if (listed.contains(ref) || j.session[t] != m.session || j.inherited.get(t)) {
+      if (listed.contains(ref) || Squaring.of(unlisted(r, j, t)) != Verdict.START) {
         continue;
       }
-      if (j.state[t] != Job.PLACING) {
-        // Repeated until listed: a start does nothing where the attempt is known already.
-        out.add(ledger.start(j, t));
-        if (j.stopping.get(t)) {
-          out.add(ledger.stopCommand(j, t));
-        }
+      // Repeated until listed: a start does nothing where the attempt is known already.
+      repeatedStarts++;
+      out.add(ledger.start(j, t));
+      if (j.stopping.get(t)) {
+        out.add(ledger.stopCommand(j, t));
       }
     }
     return out;
--- a/src/main/java/org/snowturn/core/TaskRecords.java
+++ b/src/main/java/org/snowturn/core/TaskRecords.java
@@ -93,14 +93,24 @@
     void placed(int task, long attempt, String machine, long session);
   }
 
-  /** Reads a record of either format; {@code from} is its first task. */
+  /**
+   * Reads a record of either format; {@code from} is its first task.
+   *
+   * @throws IllegalArgumentException if it cannot be read; some of it may have been told by then
+   */
   static void read(JsonNode value, int from, Reader to) {
+    if (!value.isObject()) {
+      throw new IllegalArgumentException("not an object");
+    }
     boolean second = value.path("v").asInt(Keys.VERSION) >= Keys.SECOND;
     BitSet finished = BitSet.valueOf(Base64.getDecoder().decode(value.path("d").asText("")));
     finished.stream().forEach(i -> to.done(from + i));
     long base = second ? value.path("a").asLong(0) : 0;
     for (JsonNode p : value.path("p")) {
-      int task = p.path(0).asInt(-1);
+      if (!p.path(0).isInt() || !p.path(1).isIntegralNumber() || !p.path(2).isTextual()) {
+        throw new IllegalArgumentException("a placement that is none");
+      }
+      int task = p.path(0).asInt();
       to.placed(
           second && task >= 0 ? from + task : task,
           base + p.path(1).asLong(),
--- a/src/main/java/org/snowturn/core/Writer.java
+++ b/src/main/java/org/snowturn/core/Writer.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
@@ -74,6 +75,9 @@
   interface Host {
     boolean hasAuthority();
 
+    /** Whether the term is over for good. */
+    boolean over();
+
     long token();
 
     void leaderKeyLost();
@@ -95,6 +99,7 @@
   private int inFlight;
   private int mostTogether = Integer.MAX_VALUE;
   private long pauseUntil;
+  private boolean slotsTurn;
 
   /** The limits may become smaller at any time. */
   Writer(Calls calls, Host host, Supplier<Settings.StateLimits> limits) {
@@ -158,6 +163,11 @@
     }
   }
 
+  /** Whether whole transactions that cannot wait are queueing up. */
+  boolean pressed() {
+    return specials.get(Turn.NEXT).size() > 1;
+  }
+
   int waiting() {
     int n = 0;
     for (var q : dirty.values()) {
@@ -178,10 +188,22 @@
 
   private boolean sendOne() {
     Special special = specials.get(Turn.FIRST).peek();
-    special = special != null ? special : specials.get(Turn.NEXT).peek();
     if (special != null) {
       return send(special, 0);
     }
+    special = specials.get(Turn.NEXT).peek();
+    if (special != null) {
+      // In turn with placements: after an outage hundreds of jobs are over at once, and their
+      // records alone would keep every start waiting for seconds.
+      boolean urgent = !dirty.isEmpty() && dirty.firstKey() < CAN_WAIT;
+      if (urgent && slotsTurn && sendSlots()) {
+        slotsTurn = false;
+        return true;
+      }
+      boolean sent = send(special, 0);
+      slotsTurn |= sent;
+      return sent;
+    }
     if (sendSlots()) {
       return true;
     }
@@ -368,23 +390,31 @@
 
   /** Learns a key's present version; the slot stays in flight until then. */
   private void reread(Slot s) {
-    calls.state("GET", "/kv/" + s.key, null, TIMEOUT_MS, rereadThen(s));
+    reread(s, calls.backoff());
   }
 
-  private Calls.Then rereadThen(Slot s) {
+  private void reread(Slot s, Backoff backoff) {
+    calls.state("GET", "/kv/" + s.key, null, TIMEOUT_MS, rereadThen(s, backoff));
+  }
+
+  private Calls.Then rereadThen(Slot s, Backoff backoff) {
     return (outcome, status, body) -> {
       if (outcome == Outcome.ANSWERED && status == 404) {
         s.stamp = 0;
         s.inFlight = false;
-      } else if (outcome == Outcome.ANSWERED && status == 200) {
+        return;
+      }
+      if (outcome == Outcome.ANSWERED && status == 200) {
         try {
           s.stamp = StateMessage.entry(body).stamp();
           s.inFlight = false;
+          return;
         } catch (MalformedException e) {
-          reread(s);
+          calls.note("unusable reply for " + s.key + ": " + e.getMessage());
         }
-      } else {
-        reread(s);
+      }
+      if (!host.over()) {
+        calls.again(backoff, () -> reread(s, backoff));
       }
     };
   }
--- /dev/null
+++ b/src/main/java/org/snowturn/core/recovery/Backoff.java
@@ -0,0 +1,51 @@
+package org.snowturn.core.recovery;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * When to repeat a call that failed: at twice the interval each time, up to a bound, with a part of
+ * it drawn at random, so that nodes that failed together do not come back together. What the other
+ * side asked for by Retry-After is kept where it is longer.
+ *
+ * <p>A library such as resilience4j or Failsafe brings its own clock and threads; the core has
+ * neither, and needs only the next delay.
+ */
+public final class Backoff {
+  private final RandomGenerator random;
+  private final long leastMs;
+  private final long mostMs;
+  private long nextMs;
+
+  /**
+   * A sequence of delays that starts anew after each success.
+   *
+   * @param leastMs the first delay's upper end
+   * @param mostMs what no delay of our own exceeds
+   */
+  public Backoff(RandomGenerator random, long leastMs, long mostMs) {
+    if (leastMs < 1 || mostMs < leastMs) {
+      throw new IllegalArgumentException("delays from " + leastMs + " to " + mostMs + " ms");
+    }
+    this.random = random;
+    this.leastMs = leastMs;
+    this.mostMs = mostMs;
+    this.nextMs = leastMs;
+  }
+
+  /**
+   * The delay in milliseconds before the next try.
+   *
+   * @param retryAfterMs what the other side asked for; 0 if it did not
+   */
+  public long next(long retryAfterMs) {
+    long upper = nextMs;
+    nextMs = Math.min(mostMs, upper * 2);
+    long ours = upper - (long) (random.nextDouble() * (upper / 2));
+    return Math.max(ours, retryAfterMs);
+  }
+
+  /** The last try went well. */
+  public void reset() {
+    nextMs = leastMs;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/recovery/Phase.java
@@ -0,0 +1,15 @@
+package org.snowturn.core.recovery;
+
+/** How far a term of leadership is on its way from nothing to the ordinary path. */
+public enum Phase {
+  /** The token is ours; nothing is known yet, so nothing may be decided. */
+  WON,
+  /** The stored records are being read. Workers are answered, so that their leases go on. */
+  READING,
+  /** All records are known. Machines that have shown the token may get work; others are asked. */
+  ASKING,
+  /** Every machine of the records has shown the token, has ended, or is known not to answer. */
+  SQUARED,
+  /** The fate of every task that an earlier leader started is known. */
+  NORMAL
+}
--- /dev/null
+++ b/src/main/java/org/snowturn/core/recovery/Squaring.java
@@ -0,0 +1,135 @@
+package org.snowturn.core.recovery;
+
+/**
+ * What follows from what is stored of a task's attempt and what its machine reports of it. This is
+ * the table of docs/recovery.md; it decides and acts on nothing.
+ *
+ * <p>Only the newest report of a machine is put to it. Two things decide how much a report proves.
+ * Its token: after a machine has shown the present one, no start of an earlier leader can be
+ * executed there any more. Its session: what was placed in an earlier session of the machine has
+ * ended with it.
+ */
+public final class Squaring {
+  /** What the stored records, and this term's own placements, say of the attempt. */
+  public enum Stored {
+    /** No live job of this name: never accepted, over, or cancelled and done with. */
+    NOTHING,
+    /** The job lives and this task waits for a machine. */
+    WAITING,
+    /** The task has another attempt or machine, or its job is cancelled and needs no result. */
+    ELSEWHERE,
+    /** The task's result is known. */
+    FINISHED,
+    /** Placed here in this term; the placement is not durable, so no start has been sent. */
+    PLACING,
+    /** Started here under this token, or seen here under it. */
+    STARTED,
+    /** Placed here by an earlier leader and not yet seen under this token. */
+    INHERITED;
+
+    /** Whether this attempt may be on this machine. */
+    public boolean here() {
+      return this == PLACING || this == STARTED || this == INHERITED;
+    }
+  }
+
+  /** What the machine says of the attempt. */
+  public enum Seen {
+    /** Not listed. */
+    ABSENT,
+    /** Fetching, running or saving. */
+    ALIVE,
+    /** Ended with its result. */
+    DONE,
+    /** Ended without: stopped, failed or refused. */
+    ENDED
+  }
+
+  /** The report's session as against the one in which the attempt was placed. */
+  public enum Session {
+    EARLIER,
+    SAME,
+    LATER
+  }
+
+  /** What is to be done. */
+  public enum Verdict {
+    /** It is where it should be. */
+    KEEP,
+    /** Nothing is proven yet. */
+    WAIT,
+    /** Send the start again: it may have been lost, and is harmless if not. */
+    START,
+    /** Tell the machine to stop it. */
+    STOP,
+    /** It has certainly ended without a result: the task waits again. */
+    RELEASE,
+    /** The task is done. */
+    COMPLETE,
+    /** The machine need not list it any more. */
+    FORGET
+  }
+
+  /**
+   * One attempt on one machine.
+   *
+   * @param ours whether the report bears the present token
+   * @param stopping whether the attempt has been told to stop, or is to be
+   * @param settled whether nothing of the attempt is needed or in flight any more: its result, if
+   *     any, is durable, and no start of it may still arrive
+   */
+  public record Case(
+      Stored stored, Seen seen, Session session, boolean ours, boolean stopping, boolean settled) {}
+
+  private Squaring() {}
+
+  /** The verdict for a case. */
+  public static Verdict of(Case c) {
+    if (!c.stored.here()) {
+      return notHere(c);
+    }
+    return switch (c.session) {
+      case LATER -> Verdict.RELEASE;
+      case EARLIER -> Verdict.WAIT;
+      // What was not sent cannot be listed; if it seems to be, nothing is done about it.
+      case SAME -> c.stored == Stored.PLACING ? Verdict.WAIT : here(c);
+    };
+  }
+
+  private static Verdict here(Case c) {
+    return switch (c.seen) {
+      case ALIVE -> c.stopping ? Verdict.STOP : Verdict.KEEP;
+      // Not only absence but also an end has to be told under this token: a report without it may
+      // be older than what an earlier leader has done since.
+      case DONE -> c.ours ? Verdict.COMPLETE : Verdict.WAIT;
+      case ENDED -> c.ours ? Verdict.RELEASE : Verdict.WAIT;
+      case ABSENT -> absent(c);
+    };
+  }
+
+  private static Verdict absent(Case c) {
+    return switch (c.stored) {
+      case STARTED -> Verdict.START;
+      case INHERITED -> c.ours ? Verdict.RELEASE : Verdict.WAIT;
+      default -> Verdict.WAIT;
+    };
+  }
+
+  private static Verdict notHere(Case c) {
+    return switch (c.seen) {
+      case ABSENT -> Verdict.WAIT;
+      case ALIVE -> Verdict.STOP;
+      case DONE -> {
+        if (c.stored == Stored.WAITING && c.ours) {
+          yield Verdict.COMPLETE;
+        }
+        yield forget(c);
+      }
+      case ENDED -> forget(c);
+    };
+  }
+
+  private static Verdict forget(Case c) {
+    return c.ours && c.settled ? Verdict.FORGET : Verdict.WAIT;
+  }
+}
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -6,8 +6,12 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.BindException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snowturn.cloud.CloudClient;
@@ -29,8 +33,10 @@
 import org.xnio.XnioWorker;
 
 /**
- * Wires the core to the world. Everything runs on one I/O thread, so the core needs no locks and a
- * third of a core is not spent on handing work between threads.
+ * Wires the core to the world, on two I/O threads. One has the core, the state service, the cloud
+ * and the peers; the other has users and workers. When a thousand workers turn to this node at
+ * once, reading their requests takes seconds: on a thread of its own that cannot keep the renewal
+ * of this node's lease waiting. The core needs no locks, since only its thread enters it.
  */
 public final class Daemon {
   /** The start-up result that leaves the process running. */
@@ -38,6 +44,9 @@
 
   private static final Logger LOG = LoggerFactory.getLogger("snowturn");
   private static final long TICK_MS = 40;
+  private static final long INTAKE_PAUSE_MS = 1;
+
+  private static final int AUTHORITY_CONNECTIONS = 2;
   private static final int STATE_CONNECTIONS = 12;
   private static final int WATCHES = 4;
   private static final int CLOUD_CONNECTIONS = 4;
@@ -50,31 +59,35 @@
   private final Metrics metrics = new Metrics();
   private Undertow server;
   private XnioWorker worker;
+  private XnioWorker bulkWorker;
   private XnioIoThread io;
+  private XnioIoThread bulk;
+  private final Intake intake = new Intake(this::scheduleIntake);
+  private final List<Runnable> forBulk = new ArrayList<>();
+  private volatile boolean ready = true;
   private StateClient state;
   private CloudClient cloud;
   private WorkerClient workers;
   private PeerLinks peers;
   private Front front;
 
-  /** Prepares a controller. */
-  public Daemon(Settings settings, Tunables tunables) {
+  /**
+   * Prepares a controller.
+   *
+   * @param beganNanos when the process began, by {@link System#nanoTime}
+   */
+  public Daemon(Settings settings, Tunables tunables, long beganNanos) {
     this.settings = settings;
-    this.controller = new Controller(settings, tunables, UUID.randomUUID().toString());
+    this.controller =
+        new Controller(settings, tunables, UUID.randomUUID().toString(), beganNanos / 1_000_000);
   }
 
   /** Starts serving; returns an exit status, or {@link #KEEPS_RUNNING}. */
   public int start() throws IOException {
-    worker =
-        Xnio.getInstance()
-            .createWorker(
-                OptionMap.builder()
-                    .set(Options.WORKER_IO_THREADS, 1)
-                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                    .set(Options.TCP_NODELAY, true)
-                    .getMap());
+    worker = oneThread();
     io = worker.getIoThread();
+    bulkWorker = oneThread();
+    bulk = bulkWorker.getIoThread();
     // On the heap: a connection that is closed within its own callback frees its buffers while the
     // client still reads into them, which with direct memory ended the process.
     ByteBufferPool buffers = new DefaultByteBufferPool(false, 16 * 1024, 64, 4);
@@ -82,21 +95,22 @@
         new StateClient(
             new HttpCaller(settings.state(), io, buffers, STATE_CONNECTIONS),
             new HttpCaller(settings.state(), io, buffers, WATCHES),
+            new HttpCaller(settings.state(), io, buffers, AUTHORITY_CONNECTIONS),
             settings.stateLimits());
     cloud = new CloudClient(new HttpCaller(settings.cloud(), io, buffers, CLOUD_CONNECTIONS));
     workers =
-        new WorkerClient(io, buffers, Math.max(64, settings.maxConnections() / WORKERS_SHARE));
+        new WorkerClient(bulk, buffers, Math.max(64, settings.maxConnections() / WORKERS_SHARE));
     peers = new PeerLinks(io, this::accept);
     front =
         new Front(
-            this::accept,
-            controller::ready,
+            intake::offer,
+            () -> ready,
             metrics,
-            controller::gauges,
+            then -> io.execute(() -> gauges(then)),
             Math.max(64, settings.maxConnections() / 2));
     server =
         Undertow.builder()
-            .setWorker(worker)
+            .setWorker(bulkWorker)
             .setByteBufferPool(buffers)
             .addHttpListener(
                 settings.serveOn().getPort(), settings.serveOn().getAddress().getHostAddress())
@@ -137,18 +151,68 @@
       server.stop();
     }
     worker.shutdownNow();
+    bulkWorker.shutdownNow();
+  }
+
+  private static XnioWorker oneThread() throws IOException {
+    return Xnio.getInstance()
+        .createWorker(
+            OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
   }
 
   private void tick() {
     accept(new Input.Tick());
+    ready = controller.ready();
     io.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
+  private void scheduleIntake() {
+    io.execute(this::drainIntake);
+  }
+
+  private void drainIntake() {
+    if (intake.drain(this::handle)) {
+      // Not at once: the thread runs all that is to be executed before it looks at its sockets.
+      io.executeAfter(this::drainIntake, INTAKE_PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+    toBulk();
+  }
+
+  private void gauges(Consumer<Map<String, Double>> then) {
+    Map<String, Double> g = controller.gauges();
+    bulk.execute(() -> then.accept(g));
+  }
+
   private void accept(Input input) {
-    if (!io.equals(Thread.currentThread())) {
-      io.execute(() -> accept(input));
-      return;
+    handle(input);
+    toBulk();
+  }
+
+  /** Hands over what is for users and workers: all of an input, or of a slice, at once. */
+  private void toBulk() {
+    if (!forBulk.isEmpty()) {
+      List<Runnable> all = List.copyOf(forBulk);
+      forBulk.clear();
+      bulk.execute(() -> all.forEach(this::safely));
     }
+  }
+
+  /** One answer that cannot be sent must not take the others with it. */
+  private void safely(Runnable run) {
+    try {
+      run.run();
+    } catch (RuntimeException e) {
+      LOG.error("an answer or a command failed", e);
+      metrics.count("snowturn.failures", "Bulk");
+    }
+  }
+
+  private void handle(Input input) {
     try {
       long now = System.nanoTime() / 1_000_000;
       for (Effect e : controller.handle(now, System.currentTimeMillis(), input)) {
@@ -163,13 +227,13 @@
 
   private void perform(Effect e) {
     if (e instanceof Effect.Answer a) {
-      front.answer(a);
+      forBulk.add(() -> front.answer(a));
     } else if (e instanceof Effect.Call c) {
       metrics.count("snowturn.calls", c.target().name().toLowerCase(java.util.Locale.ROOT));
       switch (c.target()) {
-        case STATE, STATE_WATCH -> state.call(c, this::later);
+        case AUTHORITY, STATE, STATE_WATCH -> state.call(c, this::later);
         case CLOUD -> cloud.call(c, this::later);
-        case WORKER -> workers.call(c, this::later);
+        case WORKER -> forBulk.add(() -> workers.call(c, this::fromWorker));
         default -> throw new IllegalStateException();
       }
     } else if (e instanceof Effect.ToPeers p) {
@@ -181,10 +245,19 @@
 
   /** Replies are taken after the present input: the core is not entered twice. */
   private void later(Input input) {
+    noteFailure(input);
+    io.execute(() -> accept(input));
+  }
+
+  private void fromWorker(Input input) {
+    noteFailure(input);
+    intake.offer(input);
+  }
+
+  private void noteFailure(Input input) {
     if (input instanceof Input.Reply r && r.outcome() != org.snowturn.core.Outcome.ANSWERED) {
       metrics.count("snowturn.calls.failed", r.outcome().name().toLowerCase(java.util.Locale.ROOT));
       LOG.debug("call {} {} {}", r.call(), r.outcome(), r.status());
     }
-    io.execute(() -> accept(input));
   }
 }
--- a/src/main/java/org/snowturn/daemon/Main.java
+++ b/src/main/java/org/snowturn/daemon/Main.java
@@ -39,6 +39,8 @@
       description = "Start on loopback, serve a few requests, exit: the build records the classes.")
   private boolean rehearse;
 
+  private final long beganNanos = System.nanoTime();
+
   /** Reports the version that the build wrote into the jar. */
   static final class Version implements CommandLine.IVersionProvider {
     @Override
@@ -97,6 +99,6 @@
       System.out.println("settings are valid");
       return 0;
     }
-    return new Daemon(settings, figures).start();
+    return new Daemon(settings, figures, beganNanos).start();
   }
 }
--- a/src/main/java/org/snowturn/daemon/Rehearsal.java
+++ b/src/main/java/org/snowturn/daemon/Rehearsal.java
@@ -71,7 +71,7 @@
     Files.writeString(file, text);
     Settings settings = SettingsReader.read(file);
     Files.delete(file);
-    Daemon daemon = new Daemon(settings, Tunables.defaults());
+    Daemon daemon = new Daemon(settings, Tunables.defaults(), System.nanoTime());
     if (daemon.start() != Daemon.KEEPS_RUNNING) {
       return 1;
     }
--- a/src/main/java/org/snowturn/front/Front.java
+++ b/src/main/java/org/snowturn/front/Front.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snowturn.core.Effect;
@@ -37,7 +36,7 @@
   private final Consumer<Input> core;
   private final BooleanSupplier ready;
   private final Metrics metrics;
-  private final Supplier<Map<String, Double>> gauges;
+  private final Consumer<Consumer<Map<String, Double>>> gauges;
   private final int mostOpen;
   private final Map<Long, Waiting> waiting = new HashMap<>();
   private long nextExchange = 1;
@@ -48,12 +47,16 @@
     void on(JsonNode body) throws MalformedException;
   }
 
-  /** Hands requests to {@code core}; at most {@code mostOpen} of them at a time. */
+  /**
+   * Hands requests to {@code core}; at most {@code mostOpen} of them at a time.
+   *
+   * @param gauges asks for the core's own figures, which come back on this server's thread
+   */
   public Front(
       Consumer<Input> core,
       BooleanSupplier ready,
       Metrics metrics,
-      Supplier<Map<String, Double>> gauges,
+      Consumer<Consumer<Map<String, Double>>> gauges,
       int mostOpen) {
     this.core = core;
     this.ready = ready;
@@ -82,8 +85,9 @@
     } else if (path.equals("/metrics")) {
       if (allow(x, Methods.GET)) {
         x.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
-        byte[] text = metrics.text(gauges.get()).getBytes(StandardCharsets.UTF_8);
-        finish(x, 200, text);
+        Consumer<Map<String, Double>> show =
+            g -> finish(x, 200, metrics.text(g).getBytes(StandardCharsets.UTF_8));
+        x.dispatch(SameThreadExecutor.INSTANCE, () -> gauges.accept(show));
       }
     } else {
       finish(x, 404, null);
--- a/src/main/java/org/snowturn/metrics/Metrics.java
+++ b/src/main/java/org/snowturn/metrics/Metrics.java
@@ -4,17 +4,20 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 
-/** The process's own figures: Micrometer meters, with HdrHistogram behind the latencies. */
+/**
+ * The process's own figures: Micrometer meters, with HdrHistogram behind the latencies. Any thread
+ * may count; latencies are recorded and shown on one.
+ */
 public final class Metrics {
   private static final long MOST_MICROS = 60_000_000L;
   private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
-  private final Map<String, Counter> counters = new HashMap<>();
+  private final Map<String, Counter> counters = new ConcurrentHashMap<>();
   private final Map<String, Histogram> latencies = new TreeMap<>();
 
   /** Counts one event. */
--- a/src/main/java/org/snowturn/net/HttpCaller.java
+++ b/src/main/java/org/snowturn/net/HttpCaller.java
@@ -38,8 +38,11 @@
 
   /** Takes the result of a call, on the I/O thread. */
   public interface Then {
-    /** Status and body are only meaningful for {@link Outcome#ANSWERED}. */
-    void on(Outcome outcome, int status, byte[] body);
+    /**
+     * Status, body and the header Retry-After (0: none) are only meaningful for {@link
+     * Outcome#ANSWERED}.
+     */
+    void on(Outcome outcome, int status, byte[] body, int retryAfterS);
   }
 
   private record Idle(ClientConnection connection, long sinceNanos) {}
@@ -82,7 +85,8 @@
         c.path(),
         c.body() == null ? null : Json.bytes(c.body()),
         c.timeoutMs(),
-        (outcome, status, bytes) -> reply.accept(Replies.of(c, outcome, status, bytes)));
+        (outcome, status, bytes, retryAfterS) ->
+            reply.accept(Replies.of(c, outcome, status, bytes, retryAfterS)));
   }
 
   /** Sends a request; {@code then} is called exactly once. */
@@ -103,6 +107,12 @@
     }
   }
 
+  /** Seconds; a date, or what is no number, counts as none. */
+  private static int retryAfterS(String header) {
+    boolean seconds = header != null && header.matches("[0-9]{1,4}");
+    return seconds ? Integer.parseInt(header) : 0;
+  }
+
   private void connect(Exchange x) {
     open++;
     UndertowClient.getInstance()
@@ -121,7 +131,7 @@
               @Override
               public void failed(IOException e) {
                 open--;
-                x.finish(Outcome.REFUSED, 0, null);
+                x.finish(Outcome.REFUSED, 0, null, 0);
                 pump();
               }
             },
@@ -182,22 +192,22 @@
       if (sent) {
         IoUtils.safeClose(connection);
       }
-      finish(sent ? Outcome.UNKNOWN : Outcome.REFUSED, 0, null);
+      finish(sent ? Outcome.UNKNOWN : Outcome.REFUSED, 0, null, 0);
       pump();
     }
 
-    void finish(Outcome outcome, int status, byte[] reply) {
+    void finish(Outcome outcome, int status, byte[] reply, int retryAfterS) {
       if (over) {
         return;
       }
       over = true;
       timer.remove();
-      then.on(outcome, status, reply);
+      then.on(outcome, status, reply, retryAfterS);
     }
 
     void broken(IOException e) {
       IoUtils.safeClose(connection);
-      finish(Outcome.UNKNOWN, 0, null);
+      finish(Outcome.UNKNOWN, 0, null, 0);
       pump();
     }
 
@@ -232,6 +242,9 @@
             @Override
             public void completed(ClientExchange done) {
               int status = done.getResponse().getResponseCode();
+              int retryAfterS =
+                  retryAfterS(
+                      done.getResponse().getResponseHeaders().getFirst(Headers.RETRY_AFTER));
               BodyReader.read(
                   done.getResponseChannel(),
                   buffers,
@@ -250,7 +263,7 @@
                     // exchange is cleared behind this call.
                     ClientConnection c = connection;
                     io.execute(() -> release(c));
-                    finish(Outcome.ANSWERED, status, bytes);
+                    finish(Outcome.ANSWERED, status, bytes, retryAfterS);
                   },
                   Exchange.this::broken);
             }
--- a/src/main/java/org/snowturn/net/Replies.java
+++ b/src/main/java/org/snowturn/net/Replies.java
@@ -16,7 +16,8 @@
   private Replies() {}
 
   /** The input for one reply. */
-  public static Input.Reply of(Effect.Call c, Outcome outcome, int status, byte[] bytes) {
+  public static Input.Reply of(
+      Effect.Call c, Outcome outcome, int status, byte[] bytes, int retryAfterS) {
     if (outcome != Outcome.ANSWERED) {
       return new Input.Reply(c.id(), outcome, 0, null);
     }
@@ -31,7 +32,8 @@
     }
     boolean worker = c.target() == Effect.Target.WORKER;
     if (status == 429 || status == 503) {
-      return new Input.Reply(c.id(), worker ? Outcome.UNKNOWN : Outcome.REFUSED, status, body);
+      Outcome what = worker ? Outcome.UNKNOWN : Outcome.REFUSED;
+      return new Input.Reply(c.id(), what, status, body, retryAfterS * 1000L);
     }
     if (status >= 500) {
       return new Input.Reply(c.id(), Outcome.UNKNOWN, status, body);
--- a/src/main/java/org/snowturn/peer/PeerLinks.java
+++ b/src/main/java/org/snowturn/peer/PeerLinks.java
@@ -29,7 +29,8 @@
 public final class PeerLinks {
   private static final Logger LOG = LoggerFactory.getLogger(PeerLinks.class);
   private static final int BUFFER = 32 * 1024;
-  private static final long RETRY_MS = 500;
+  private static final long RETRY_LEAST_MS = 50;
+  private static final long RETRY_MOST_MS = 500;
 
   private final XnioIoThread io;
   private final Consumer<Input> core;
@@ -78,6 +79,7 @@
     final InetSocketAddress peer;
     final ByteBuffer buffer = ByteBuffer.allocate(BUFFER);
     StreamConnection connection;
+    long retryMs = RETRY_LEAST_MS;
 
     Out(InetSocketAddress peer) {
       this.peer = peer;
@@ -99,6 +101,7 @@
     void opened(IoFuture<? extends StreamConnection> f) {
       try {
         connection = f.get();
+        retryMs = RETRY_LEAST_MS;
         buffer.clear();
         ConduitStreamSinkChannel sink = connection.getSinkChannel();
         sink.setWriteListener(ch -> write());
@@ -112,7 +115,9 @@
     }
 
     void later() {
-      io.executeAfter(this::open, RETRY_MS, TimeUnit.MILLISECONDS);
+      // After all nodes went down each waits to hear that the others do not lead: soon at first.
+      io.executeAfter(this::open, retryMs, TimeUnit.MILLISECONDS);
+      retryMs = Math.min(RETRY_MOST_MS, retryMs * 2);
     }
 
     void closed() {
--- a/src/main/java/org/snowturn/state/StateClient.java
+++ b/src/main/java/org/snowturn/state/StateClient.java
@@ -9,7 +9,8 @@
 
 /**
  * The client of the state service. It keeps this node's share of the request rate; what exceeds it
- * is refused at once, since a late answer helps nobody. Lease calls always pass.
+ * is refused at once, since a late answer helps nobody. What the node's authority rests on has
+ * connections of its own and always passes, whatever else is under way.
  */
 public final class StateClient {
   /** One node may use this share of the common rate; the rest is the other nodes'. */
@@ -17,12 +18,15 @@
 
   private final HttpCaller caller;
   private final HttpCaller watches;
+  private final HttpCaller authority;
   private final double rate;
   private double budget;
   private long filledAtNanos = System.nanoTime();
 
-  /** Uses two callers, so that watches never keep requests waiting. */
-  public StateClient(HttpCaller caller, HttpCaller watches, Settings.StateLimits limits) {
+  /** Uses three callers, so that neither watches nor bulk work keep the others waiting. */
+  public StateClient(
+      HttpCaller caller, HttpCaller watches, HttpCaller authority, Settings.StateLimits limits) {
+    this.authority = authority;
     this.caller = caller;
     this.watches = watches;
     this.rate = limits.rps() * SHARE;
@@ -31,12 +35,17 @@
 
   /** Makes the call and hands in its reply. */
   public void call(Effect.Call c, Consumer<Input> reply) {
-    boolean lease = c.path().startsWith("/leases");
-    if (!spend() && !lease) {
+    boolean always = c.target() == Effect.Target.AUTHORITY;
+    if (!spend() && !always) {
       reply.accept(new Input.Reply(c.id(), Outcome.REFUSED, 429, null));
       return;
     }
-    HttpCaller via = c.target() == Effect.Target.STATE_WATCH ? watches : caller;
+    HttpCaller via =
+        switch (c.target()) {
+          case AUTHORITY -> authority;
+          case STATE_WATCH -> watches;
+          default -> caller;
+        };
     via.call(c, reply);
   }
 
--- a/src/test/java/org/snowturn/core/PartsCleanupTest.java
+++ b/src/test/java/org/snowturn/core/PartsCleanupTest.java
@@ -16,6 +16,11 @@
 
   private static final Writer.Host HOST =
       new Writer.Host() {
+        @Override
+        public boolean over() {
+          return false;
+        }
+
         @Override
         public boolean hasAuthority() {
           return true;
@@ -55,7 +60,7 @@
   void theOtherPartsGoOnlyWhileTheFirstIsNotThereAgain() {
     Settings settings = TestSettings.with();
     Settings.StateLimits limits = settings.stateLimits();
-    Calls calls = new Calls();
+    Calls calls = new Calls(1);
     FormatGate gate = new FormatGate(settings, calls);
     Writer writer = new Writer(calls, HOST, () -> limits);
     MachineBook machines = new MachineBook(List.of("z"), m -> null);
--- a/src/test/java/org/snowturn/daemon/DaemonTest.java
+++ b/src/test/java/org/snowturn/daemon/DaemonTest.java
@@ -52,7 +52,7 @@
             new Settings.StateLimits(100, 20, 4, 8),
             new Settings.CloudLimits(2, 1),
             100);
-    daemon = new Daemon(settings, Tunables.defaults());
+    daemon = new Daemon(settings, Tunables.defaults(), System.nanoTime());
     assertEquals(Daemon.KEEPS_RUNNING, daemon.start());
   }
 
@@ -132,6 +132,6 @@
 
   @Test
   void aPortInUseEndsTheStartWithAStatus() throws Exception {
-    assertEquals(1, new Daemon(settings, Tunables.defaults()).start());
+    assertEquals(1, new Daemon(settings, Tunables.defaults(), System.nanoTime()).start());
   }
 }
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -286,6 +286,11 @@
         w.state.loseReplies = Double.parseDouble(e[3]);
         w.after(ms(e[4]), () -> w.state.loseReplies = 0);
       }
+      case "slow-state" -> {
+        w.state.slow = Integer.parseInt(e[3]);
+        w.after(ms(e[4]), () -> w.state.slow = 1);
+      }
+      case "spoil" -> w.state.spoil(e[3]);
       case "slow-watch" -> w.state.watchDelayMs = ms(e[3]);
       case "late-txns" -> {
         w.state.lateTxns = Double.parseDouble(e[3]);
@@ -375,6 +380,15 @@
         .reduce("", (a, b) -> b);
   }
 
+  private static long firstNote(World w, String text, long from) {
+    return w.log.stream()
+        .filter(l -> l.contains(text))
+        .mapToLong(l -> Long.parseLong(l.substring(0, l.indexOf(' '))))
+        .filter(at -> at >= from)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
   private List<String> verdict(World w) {
     List<String> wrong = new ArrayList<>();
     List<String> brokenExpected = new ArrayList<>();
@@ -458,6 +472,19 @@
             wrong.add(line + ", but " + n);
           }
         }
+        case "questions-most" -> {
+          if (w.questions > Integer.parseInt(e[2])) {
+            wrong.add(line + ", but " + w.questions);
+          }
+        }
+        case "first" -> {
+          // expect first FROM BY TEXT: the first such note after FROM comes until BY
+          String text = line.split("\\s+", 5)[4];
+          long at = firstNote(w, text, ms(e[2]));
+          if (at > ms(e[3])) {
+            wrong.add(line + ", but " + (at == Long.MAX_VALUE ? "never" : at));
+          }
+        }
         case "hired-most" -> {
           long n =
               w.cloud.machines.values().stream()
--- a/src/test/java/org/snowturn/sim/StandInState.java
+++ b/src/test/java/org/snowturn/sim/StandInState.java
@@ -39,6 +39,10 @@
   final Set<String> refusing = new HashSet<>();
   boolean outage;
   long watchDelayMs;
+
+  /** How many times slower than usual replies are. */
+  int slow = 1;
+
   double loseReplies;
   double lateTxns;
   Settings.StateLimits limits;
@@ -179,6 +183,10 @@
   }
 
   void take(String from, Effect.Call c, World.Reply back) {
+    if (slow > 1) {
+      World.Reply prompt = back;
+      back = (o, s, b) -> world.after(world.jitter(2) * slow, () -> prompt.on(o, s, b));
+    }
     expire();
     if (outage || refusing.contains(from)) {
       back.on(Outcome.REFUSED, 503, null);
@@ -197,7 +205,8 @@
       return;
     }
     if (watchDelayMs > 0 && c.path().startsWith("/watch")) {
-      execute(c, (o, s, b) -> world.after(watchDelayMs, () -> back.on(o, s, b)));
+      World.Reply then = back;
+      execute(c, (o, s, b) -> world.after(watchDelayMs, () -> then.on(o, s, b)));
       return;
     }
     boolean lose = txn && world.random.nextDouble() < loseReplies;
@@ -371,6 +380,16 @@
     wake();
   }
 
+  /** Spoils the first value below a prefix, as a fault of the store or of another program would. */
+  void spoil(String prefix) {
+    String key = kv.ceilingKey(prefix);
+    if (key == null || !key.startsWith(prefix)) {
+      throw new IllegalStateException("at " + world.now + ": nothing below " + prefix);
+    }
+    Value v = kv.get(key);
+    kv.put(key, new Value(Json.array().add("spoilt"), v.stamp, v.lease));
+  }
+
   /** A stored value, for tests to look at; null if there is none. */
   JsonNode peek(String key) {
     return kv.containsKey(key) ? kv.get(key).json : null;
--- a/src/test/java/org/snowturn/sim/StandInWorker.java
+++ b/src/test/java/org/snowturn/sim/StandInWorker.java
@@ -49,6 +49,10 @@
   private long leaseFrom;
   private int at;
   private long generation;
+  private long waiting;
+  private long learntAt = Long.MIN_VALUE / 2;
+  private boolean changed;
+  private boolean reporting;
 
   StandInWorker(World world, StandInCloud.Rented rented) {
     this.world = world;
@@ -129,9 +133,11 @@
       return;
     }
     if (hung || mute) {
-      world.after(200, this::report);
+      reportAfter(200);
       return;
     }
+    reporting = true;
+    changed = false;
     World.Node node = world.nodes.get(at);
     long sentAt = world.now;
     long inSession = session;
@@ -152,6 +158,7 @@
                 (status, reply) -> {
                   if (mine == generation && !dead && !hung) {
                     generation++;
+                    reporting = false;
                     answered(status, reply, sentAt, inSession);
                   }
                 }));
@@ -160,6 +167,7 @@
         () -> {
           if (mine == generation) {
             generation++;
+            reporting = false;
             next(1000);
           }
         });
@@ -167,7 +175,7 @@
 
   private void next(long ms) {
     at = (at + 1) % world.nodes.size();
-    world.after(ms, this::report);
+    reportAfter(ms);
   }
 
   private void answered(int status, JsonNode reply, long sentAt, long inSession) {
@@ -176,7 +184,7 @@
       for (int i = 0; i < world.nodes.size(); i++) {
         if (world.nodes.get(i).name.equals(name) && i != at) {
           at = i;
-          world.after(world.random.nextInt(500), this::report);
+          reportAfter(world.random.nextInt(500));
           return;
         }
       }
@@ -187,12 +195,36 @@
     }
     long given = reply.path("baton").asLong();
     if (given >= token && inSession == session) {
-      token = given;
+      learn(given);
       leaseFrom = Math.max(leaseFrom, sentAt);
       execute(reply.path("orders"));
     }
     long every = (long) (figures().reportS() * 1000);
-    world.after(every * 3 / 4 + world.random.nextInt((int) (every / 2)), this::report);
+    long usual = every * 3 / 4 + world.random.nextInt((int) (every / 2));
+    reportAfter(changed ? 500 : usual);
+  }
+
+  private void reportAfter(long ms) {
+    long mine = ++waiting;
+    world.after(
+        ms,
+        () -> {
+          if (mine == waiting) {
+            report();
+          }
+        });
+  }
+
+  /** A higher token counts as a change, which is reported soon, but not too often. */
+  private void learn(long given) {
+    if (given > token && world.now - learntAt >= figures().leaseS() * 500) {
+      learntAt = world.now;
+      changed = true;
+      if (!reporting) {
+        reportAfter(500);
+      }
+    }
+    token = Math.max(token, given);
   }
 
   /** A direct command; a hung machine executes it when it resumes. */
@@ -209,7 +241,7 @@
       back.on(Outcome.ANSWERED, 409, body());
       return;
     }
-    token = Math.max(token, body.path("baton").asLong());
+    learn(body.path("baton").asLong());
     execute(body.path("orders"));
     back.on(Outcome.ANSWERED, 200, body());
   }
--- a/src/test/java/org/snowturn/sim/World.java
+++ b/src/test/java/org/snowturn/sim/World.java
@@ -53,6 +53,11 @@
   private final Set<String> cutZones = new HashSet<>();
   private long lateCommandsMs;
 
+  /** Direct messages to workers so far, and those of them without any command. */
+  int messages;
+
+  int questions;
+
   World(long seed, Settings[] settings, Tunables tunables) {
     this.random = new Random(seed);
     this.settings = settings;
@@ -176,7 +181,7 @@
       up = true;
       paused = false;
       backlog.clear();
-      core = new Controller(settings, tunables, name + "-" + life);
+      core = new Controller(settings, tunables, name + "-" + life, now);
       tick(life);
     }
 
@@ -255,14 +260,14 @@
       after(c.timeoutMs(), () -> reply.on(Outcome.UNKNOWN, 0, null));
       String to =
           switch (c.target()) {
-            case STATE, STATE_WATCH -> "state";
+            case AUTHORITY, STATE, STATE_WATCH -> "state";
             case CLOUD -> "cloud";
             default -> c.addr();
           };
       Reply back = (o, s, b) -> send(to, name, () -> reply.on(o, s, b));
       Runnable deliver =
           switch (c.target()) {
-            case STATE, STATE_WATCH -> () -> state.take(name, c, back);
+            case AUTHORITY, STATE, STATE_WATCH -> () -> state.take(name, c, back);
             case CLOUD -> () -> cloud.take(c, back);
             default -> () -> direct(c, back);
           };
@@ -274,6 +279,8 @@
     }
 
     private void direct(Effect.Call c, Reply back) {
+      messages++;
+      questions += c.body().path("orders").isEmpty() ? 1 : 0;
       StandInWorker w = workers.get(c.addr());
       if (w != null) {
         w.command(c.body(), back);
@@ -286,6 +293,9 @@
         long id = nextExchange++;
         exchanges.put(id, new Exchange(from, answer));
         take(input.apply(id));
+      } else {
+        // The machine is there, the process is not: the connection is refused at once.
+        send(name, from, () -> answer.on(0, null));
       }
     }
   }
