Nodes tell what they reach: the best placed leads, users are served through a peer

Cause (issue on partial cuts): two of three nodes without workers, the next leader was the other one and took 13 s to notice; all nodes without workers, the leader resigned for nothing and two more changed places; a node without the state service answered 503 though its peers were answered.

Change: core.reach and Surroundings: every node tells its peers how long ago the state service and any worker answered it; a leader names a few workers that standbys ask. Early in a term, deafness takes 15 questions in vain. Users' calls to the state service go through a peer while the own link is down (Relays): one hop, bounded, unknown stays unknown. New kinds of records, which the version in production skips, and none longer than it reads. A malformed record no longer takes its link with it.

--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -19,6 +19,8 @@
   private final FormatGate gate;
   private final UserDesk desk;
   private final Election election;
+  private final Surroundings surroundings;
+  private final Relays relays;
   private Leader leader;
 
   /**
@@ -34,7 +36,10 @@
     catalog = new Catalog(calls);
     election = new Election(settings, tunables, calls, incarnation, startedMs);
     gate = new FormatGate(settings, calls);
-    desk = new UserDesk(settings, calls, catalog, gate, election::stateHealthy);
+    surroundings = new Surroundings(settings, calls, election::stateOkAt);
+    election.holdBackIf(surroundings::betterElsewhere);
+    relays = new Relays(settings, calls, surroundings, () -> surroundings.mine().state());
+    desk = new UserDesk(settings, calls, catalog, gate, relays, election::stateHealthy);
   }
 
   /** Takes one input and returns what is to be done. */
@@ -69,13 +74,15 @@
 
   /** Whether this node should get new users: not when it alone has lost the state service. */
   public boolean ready() {
-    return election.stateHealthy() || !election.peersReachState();
+    return election.stateHealthy() || !election.peersReachState() || relays.possible();
   }
 
   /** Figures for operators. */
   public Map<String, Double> gauges() {
     Map<String, Double> g = new HashMap<>();
     g.put("snowturn.format.gate", gate.open() ? 1.0 : 0.0);
+    g.put("snowturn.relayed", (double) relays.relayed());
+    g.putAll(surroundings.gauges());
     if (leader != null) {
       g.putAll(leader.gauges());
     }
@@ -91,6 +98,8 @@
     if (leader != null) {
       leader.tick();
     }
+    boolean names = leader != null && surroundings.wantsSample();
+    surroundings.tick(leader != null, names ? leader.someWorkers(Surroundings.SAMPLE) : List.of());
   }
 
   /** Starts or ends a term as the election has it. */
@@ -100,11 +109,12 @@
       leader = null;
     }
     if (leader == null && election.leading()) {
-      leader = new Leader(calls, settings, tunables, election, catalog, gate, desk);
+      leader = new Leader(calls, settings, tunables, election, catalog, gate, desk, surroundings);
     }
   }
 
   private void checkIn(Input.CheckIn c) {
+    surroundings.workerHeard();
     if (leader != null) {
       leader.checkIn(c.exchange(), c.report());
       return;
@@ -115,6 +125,14 @@
   private void fromPeer(Input.FromPeer p) {
     if (p.message() instanceof PeerRecord.Progress g) {
       desk.progress(g);
+    } else if (p.message() instanceof PeerRecord.Reaches m) {
+      surroundings.told(m);
+    } else if (p.message() instanceof PeerRecord.Sample m) {
+      surroundings.told(m);
+    } else if (p.message() instanceof PeerRecord.Relay m) {
+      relays.asked(m);
+    } else if (p.message() instanceof PeerRecord.Relayed m) {
+      relays.answered(m);
     } else {
       election.fromPeer(p.message());
     }
--- a/src/main/java/org/snowturn/core/Election.java
+++ b/src/main/java/org/snowturn/core/Election.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.core.recovery.Backoff;
@@ -57,6 +58,9 @@
   private static final long PEER_NEWS_MS = 1500;
   private static final long HOLD_OFF_MS = 15_000;
 
+  /** A node that lacks a link leaves the claim to one that has all for so long. */
+  private static final long HOLD_BACK_MS = 1_500;
+
   private enum Role {
     LOOKING,
     FOLLOWING,
@@ -87,6 +91,8 @@
   private long holdOffUntil;
   private long generation;
 
+  private BooleanSupplier betterElsewhere = () -> false;
+  private boolean heldBack;
   private long tickedAt = Job.UNKNOWN;
   private long lateAt = Job.UNKNOWN;
   private boolean quiet = true;
@@ -128,6 +134,16 @@
     return (long) (1000 * Math.max(0.5, Math.min(ttl, most)));
   }
 
+  /** Asks this before a claim: whether a peer reaches what this node does not. */
+  void holdBackIf(BooleanSupplier better) {
+    betterElsewhere = better;
+  }
+
+  /** When the last request that the state service answered was sent; {@link Job#UNKNOWN}: never. */
+  long stateOkAt() {
+    return stateOkAt;
+  }
+
   boolean leading() {
     return role == Role.LEADING;
   }
@@ -201,7 +217,15 @@
     switch (role) {
       case LOOKING -> look();
       case LEASING -> {
-        if (!mustNotClaim()) {
+        if (mustNotClaim()) {
+          return;
+        }
+        if (!heldBack && betterElsewhere.getAsBoolean()) {
+          // A peer that reaches more goes first; but only once, so that somebody leads in any case.
+          heldBack = true;
+          nextAt = now + HOLD_BACK_MS;
+          calls.note("another node is better placed to lead: holding back");
+        } else {
           askLease();
         }
       }
@@ -367,6 +391,7 @@
       return;
     }
     role = Role.FOLLOWING;
+    heldBack = false;
   }
 
   private void endLease(long id) {
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -1,6 +1,7 @@
 package org.snowturn.core;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,15 +27,13 @@
 
   private static final int DEAF_REPORTS = 15;
 
-  /** Who has asked for so long and heard nobody is not waiting for workers to turn over. */
-  private static final long ASKED_MS = 3_000;
-
   private final Calls calls;
   private final Settings settings;
   private final Tunables tunables;
   private final Election election;
   private final Catalog catalog;
   private final UserDesk desk;
+  private final Surroundings surroundings;
   private final long token;
   private final long startedAt;
 
@@ -55,7 +54,8 @@
   private boolean secondFormat;
   private long outboxLooks;
   private boolean reported;
-  private boolean everReported;
+  private int inVain;
+  private int sweepsBetter;
   private int haveBeenUp;
   private int sweepsUnheard;
   private boolean watching;
@@ -74,7 +74,9 @@
       Election election,
       Catalog catalog,
       FormatGate gate,
-      UserDesk desk) {
+      UserDesk desk,
+      Surroundings surroundings) {
+    this.surroundings = surroundings;
     this.calls = calls;
     this.gate = gate;
     this.settings = settings;
@@ -169,6 +171,20 @@
     ledger.notRecorded(key);
   }
 
+  /** Addresses of some machines that are heard, from all over the fleet. */
+  List<String> someWorkers(int most) {
+    List<String> out = new ArrayList<>();
+    List<Machine> all = machines.present();
+    int step = Math.max(1, all.size() / (2 * most));
+    for (int i = (int) (calls.now() % step); i < all.size() && out.size() < most; i += step) {
+      Machine m = all.get(i);
+      if (m.addr != null && m.usable(calls.now())) {
+        out.add(m.addr);
+      }
+    }
+    return out;
+  }
+
   Map<String, Double> gauges() {
     Map<String, Double> g = new HashMap<>();
     int pending = 0;
@@ -314,6 +330,7 @@
     Machine m = machines.find(r.machine());
     if (!ended && takeover.loaded() && m != null && !m.gone) {
       reported = true;
+      surroundings.workerHeard();
       m.probing = false;
       take(m, r);
     }
@@ -353,6 +370,7 @@
     // again, and would never be probed.
     m.blockedUntil = Math.max(m.blockedUntil, calls.now() + UNANSWERED_MS);
     takeover.unanswered(m);
+    inVain++;
     if (m.probing || (hasBeenUp(m) && quiet(m))) {
       m.probing = false;
       if (m.suspect && m.lastReportAt != Job.UNKNOWN && replaceable()) {
@@ -390,7 +408,7 @@
 
   private void sweep() {
     long now = calls.now();
-    if (deaf()) {
+    if (handOver(deaf())) {
       election.resign("no worker reaches this node any more");
       return;
     }
@@ -443,7 +461,10 @@
     darkZones.end();
     haveBeenUp = up;
     boolean cutOff = silent >= 3 && heard * 4 < silent;
-    if (cutOff && now - startedAt > 2 * Reports.lapseMs(settings) && !settings.peers().isEmpty()) {
+    if (cutOff
+        && now - startedAt > 2 * Reports.lapseMs(settings)
+        && !settings.peers().isEmpty()
+        && surroundings.otherMayServe()) {
       election.resign("most machines are out of reach");
     }
     roll.sweep();
@@ -457,17 +478,38 @@
    */
   private boolean deaf() {
     sweepsUnheard = reported ? 0 : sweepsUnheard + 1;
-    everReported |= reported;
+    inVain = reported ? 0 : inVain;
     reported = false;
     // All that have been up: counted by those that are heard at present, a node that no machine
     // reaches any more would soon expect none to.
     double expected = sweepsUnheard * SWEEP_MS / 1000.0 * haveBeenUp / settings.workers().reportS();
-    boolean turnedOver = calls.now() - startedAt > Reports.turnOverMs(settings);
-    boolean askedInVain = takeover.sinceAsking() > ASKED_MS;
-    return sweepsUnheard >= DEAF_SWEEPS
-        && expected > DEAF_REPORTS
-        && !settings.peers().isEmpty()
-        && (turnedOver || everReported || askedInVain);
+    boolean silent =
+        sweepsUnheard >= DEAF_SWEEPS && expected > DEAF_REPORTS && !settings.peers().isEmpty();
+    if (!silent || calls.now() - startedAt > Reports.turnOverMs(settings)) {
+      return silent;
+    }
+    // Early in a term workers may still wait for an answer from the node that led before. Then only
+    // questions in vain tell that nobody reaches this one.
+    if (inVain < DEAF_REPORTS && sweepsUnheard % DEAF_SWEEPS == 0) {
+      askSome();
+    }
+    return inVain >= DEAF_REPORTS;
+  }
+
+  private void askSome() {
+    List<Machine> all = machines.present();
+    int step = Math.max(1, all.size() / (3 * DEAF_REPORTS));
+    for (int i = 0; i < all.size(); i += step) {
+      if (all.get(i).addr != null && hasBeenUp(all.get(i))) {
+        all.get(i).outbox.ask();
+      }
+    }
+  }
+
+  /** A node that can hear nobody leaves its place to one that does, if that is still so shortly. */
+  private boolean handOver(boolean cannotServe) {
+    sweepsBetter = cannotServe && surroundings.otherMayServe() ? sweepsBetter + 1 : 0;
+    return sweepsBetter >= 2;
   }
 
   // --- the loop ---
--- a/src/main/java/org/snowturn/core/PeerRecord.java
+++ b/src/main/java/org/snowturn/core/PeerRecord.java
@@ -1,5 +1,9 @@
 package org.snowturn.core;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.snowturn.core.reach.Reach;
+
 /** What controllers tell each other; {@code from} is the sender's name. */
 public sealed interface PeerRecord {
   /** The sender. */
@@ -24,6 +28,25 @@
    */
   record Resign(String from, long lease, long token) implements PeerRecord {}
 
+  /** What the sender reaches, by its own clock. */
+  record Reaches(String from, Reach reach) implements PeerRecord {}
+
+  /** Addresses of some workers that the sender, a leader, hears. */
+  record Sample(String from, List<String> workers) implements PeerRecord {}
+
+  /**
+   * Asks one peer to make a call to the state service, since the sender's own link to it is down.
+   *
+   * @param body null for none
+   */
+  record Relay(
+      String from, String to, long seq, String method, String path, JsonNode body, int timeoutMs)
+      implements PeerRecord {}
+
+  /** What came of it. */
+  record Relayed(String from, String to, long seq, Outcome outcome, int status, JsonNode body)
+      implements PeerRecord {}
+
   /** How far a job is, for display. */
   record Progress(String from, String job, int done, int running) implements PeerRecord {}
 }
--- a/src/main/java/org/snowturn/core/Takeover.java
+++ b/src/main/java/org/snowturn/core/Takeover.java
@@ -392,11 +392,6 @@
             && (questions.unheard() * MOST <= toAsk || calls.now() - askingSince > HEARD_MS));
   }
 
-  /** How long machines have been asked, in milliseconds; -1 before that. */
-  long sinceAsking() {
-    return loaded() ? calls.now() - askingSince : -1;
-  }
-
   /** The machine has shown itself, and whether it knows the present token. */
   void heard(Machine m) {
     heardAt = calls.now();
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -35,6 +35,7 @@
   private final Catalog catalog;
   private final BooleanSupplier stateHealthy;
   private final FormatGate gate;
+  private final Relays relays;
   private final Map<String, JobView> over = new Recent<>(REMEMBERED);
 
   /** Jobs known to have been accepted, and whether they are services: neither ever changes. */
@@ -47,7 +48,9 @@
       Calls calls,
       Catalog catalog,
       FormatGate gate,
+      Relays relays,
       BooleanSupplier stateHealthy) {
+    this.relays = relays;
     this.gate = gate;
     this.stateHealthy = stateHealthy;
     this.settings = settings;
@@ -61,7 +64,7 @@
 
   /** What cannot be taken is answered at once: the state service has not answered for a while. */
   private boolean refusedForNow(long exchange) {
-    if (stateHealthy.getAsBoolean()) {
+    if (stateHealthy.getAsBoolean() || relays.possible()) {
       return false;
     }
     calls.refuse(exchange, 503, AGAIN_S);
@@ -185,7 +188,7 @@
 
     /** Learns what an earlier try has stored already. */
     void look() {
-      calls.state(
+      relays.state(
           "GET",
           "/kv?prefix=" + prefix + "&most=1000",
           null,
@@ -230,7 +233,7 @@
         commit(exchange, spec, job.live(), List.of(new Condition(prefix + 0, first)));
         return;
       }
-      calls.state(
+      relays.state(
           "POST",
           "/txn",
           StateMessage.txn(when, apply),
@@ -258,7 +261,7 @@
   private void commit(long exchange, JobSpec spec, ObjectNode record, List<Condition> parts) {
     List<Condition> when = new ArrayList<>(isNew(spec.id()));
     when.addAll(parts);
-    calls.state(
+    relays.state(
         "POST",
         "/txn",
         StateMessage.txn(when, List.of(Change.put(Keys.job(spec.id()), record))),
@@ -365,7 +368,7 @@
   }
 
   private void readOne(long exchange, String key, Read then) {
-    calls.state(
+    relays.state(
         "GET",
         "/kv/" + key,
         null,
@@ -426,7 +429,7 @@
         StateMessage.txn(
             List.of(new Condition(Keys.job(id), live.stamp())),
             List.of(Change.put(Keys.job(id), value)));
-    calls.state(
+    relays.state(
         "POST",
         "/txn",
         body,
--- a/src/main/java/org/snowturn/peer/PeerCodec.java
+++ b/src/main/java/org/snowturn/peer/PeerCodec.java
@@ -1,12 +1,18 @@
 package org.snowturn.peer;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
+import org.snowturn.core.reach.Reach;
+import org.snowturn.wire.Json;
 
 /**
  * Records between controllers: a length, the format's version, the kind, the fields. Readers skip
@@ -23,6 +29,10 @@
   private static final int PROGRESS = 3;
   private static final int ASK = 4;
   private static final int PROMISE = 5;
+  private static final int REACHES = 6;
+  private static final int SAMPLE = 7;
+  private static final int RELAY = 8;
+  private static final int RELAYED = 9;
 
   private PeerCodec() {}
 
@@ -55,6 +65,31 @@
         out.writeUTF(x.job());
         out.writeInt(x.done());
         out.writeInt(x.running());
+      } else if (r instanceof PeerRecord.Reaches x) {
+        head(out, REACHES, r);
+        out.writeInt(x.reach().stateMs());
+        out.writeInt(x.reach().workersMs());
+      } else if (r instanceof PeerRecord.Sample x) {
+        head(out, SAMPLE, r);
+        out.writeShort(x.workers().size());
+        for (String addr : x.workers()) {
+          out.writeUTF(addr);
+        }
+      } else if (r instanceof PeerRecord.Relay x) {
+        head(out, RELAY, r);
+        out.writeUTF(x.to());
+        out.writeLong(x.seq());
+        out.writeUTF(x.method());
+        out.writeUTF(x.path());
+        out.writeInt(x.timeoutMs());
+        json(out, x.body());
+      } else if (r instanceof PeerRecord.Relayed x) {
+        head(out, RELAYED, r);
+        out.writeUTF(x.to());
+        out.writeLong(x.seq());
+        out.writeByte(x.outcome().ordinal());
+        out.writeInt(x.status());
+        json(out, x.body());
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -80,10 +115,54 @@
               from, in.readLong(), in.readLong(), in.readInt(), in.readBoolean());
       case RESIGN -> new PeerRecord.Resign(from, in.readLong(), in.readLong());
       case PROGRESS -> new PeerRecord.Progress(from, in.readUTF(), in.readInt(), in.readInt());
+      case REACHES -> new PeerRecord.Reaches(from, new Reach(in.readInt(), in.readInt()));
+      case SAMPLE -> new PeerRecord.Sample(from, addresses(in));
+      case RELAY -> {
+        String to = in.readUTF();
+        long seq = in.readLong();
+        String method = in.readUTF();
+        String path = in.readUTF();
+        int timeoutMs = in.readInt();
+        yield new PeerRecord.Relay(from, to, seq, method, path, json(in), timeoutMs);
+      }
+      case RELAYED -> {
+        String to = in.readUTF();
+        long seq = in.readLong();
+        int outcome = in.readByte();
+        int status = in.readInt();
+        JsonNode answer = json(in);
+        // An outcome that a later version may know tells this one nothing.
+        Outcome known =
+            outcome >= 0 && outcome < Outcome.values().length
+                ? Outcome.values()[outcome]
+                : Outcome.UNKNOWN;
+        yield new PeerRecord.Relayed(from, to, seq, known, status, answer);
+      }
       default -> null;
     };
   }
 
+  private static List<String> addresses(DataInputStream in) throws IOException {
+    int n = in.readUnsignedShort();
+    List<String> out = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      out.add(in.readUTF());
+    }
+    return List.copyOf(out);
+  }
+
+  private static void json(DataOutputStream out, JsonNode body) throws IOException {
+    byte[] bytes = body == null ? new byte[0] : Json.bytes(body);
+    out.writeShort(bytes.length);
+    out.write(bytes);
+  }
+
+  private static JsonNode json(DataInputStream in) throws IOException {
+    byte[] bytes = new byte[in.readUnsignedShort()];
+    in.readFully(bytes);
+    return bytes.length == 0 ? null : Json.parse(bytes);
+  }
+
   private static void head(DataOutputStream out, int kind, PeerRecord r) throws IOException {
     out.writeByte(kind);
     out.writeUTF(r.from());
--- a/src/main/java/org/snowturn/peer/PeerLinks.java
+++ b/src/main/java/org/snowturn/peer/PeerLinks.java
@@ -72,6 +72,10 @@
   /** Sends a record to every peer that is connected. */
   public void send(PeerRecord r) {
     byte[] bytes = PeerCodec.encode(r);
+    if (bytes.length > PeerCodec.MAX) {
+      LOG.debug("record of {} bytes not sent", bytes.length);
+      return;
+    }
     links.forEach(l -> l.send(bytes));
   }
 
@@ -187,6 +191,16 @@
       }
     }
 
+    /** One record that is malformed must not take the link with it. */
+    private PeerRecord decoded(byte[] body) {
+      try {
+        return PeerCodec.decode(body);
+      } catch (IOException e) {
+        LOG.debug("malformed record of {} bytes dropped: {}", body.length, e.toString());
+        return null;
+      }
+    }
+
     void take() throws IOException {
       buffer.flip();
       while (buffer.remaining() >= 2) {
@@ -200,7 +214,7 @@
         buffer.getShort();
         byte[] body = new byte[length];
         buffer.get(body);
-        PeerRecord r = PeerCodec.decode(body);
+        PeerRecord r = decoded(body);
         if (r != null) {
           core.accept(new Input.FromPeer(r));
         }
--- a/src/test/java/org/snowturn/peer/PeerCodecTest.java
+++ b/src/test/java/org/snowturn/peer/PeerCodecTest.java
@@ -8,7 +8,10 @@
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
+import org.snowturn.core.reach.Reach;
+import org.snowturn.wire.Json;
 
 class PeerCodecTest {
   private static final List<PeerRecord> RECORDS =
@@ -17,7 +20,14 @@
           new PeerRecord.Ask("n1", 7, 1L << 40, true),
           new PeerRecord.Promise("n2", 7, 1L << 40, 3000, false),
           new PeerRecord.Resign("n0", 12, 99),
-          new PeerRecord.Progress("n0", "wk-000001", 3, 4));
+          new PeerRecord.Progress("n0", "wk-000001", 3, 4),
+          new PeerRecord.Reaches("n1", new Reach(120, Reach.NEVER)),
+          new PeerRecord.Sample("n2", List.of("10.1.0.1:9000", "10.1.0.2:9000")),
+          new PeerRecord.Relay("n0", "n1", 5, "GET", "/kv/j/wk-000001", null, 1800),
+          new PeerRecord.Relay("n0", "n1", 6, "POST", "/txn", Json.object().put("when", "é"), 1800),
+          new PeerRecord.Relayed("n1", "n0", 6, Outcome.UNKNOWN, 0, null),
+          new PeerRecord.Relayed(
+              "n1", "n0", 7, Outcome.ANSWERED, 200, Json.object().put("epoch", 9)));
 
   private static byte[] body(PeerRecord r) {
     byte[] all = PeerCodec.encode(r);
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -244,6 +244,10 @@
   }
 
   private static String who(World w, String name) {
+    if (name.equals("standby") || name.equals("another")) {
+      World.Node leader = w.leader();
+      return w.nodes.stream().filter(n -> n != leader).findFirst().orElseThrow().name;
+    }
     if (!name.equals("leader")) {
       return name;
     }
@@ -472,6 +476,11 @@
             wrong.add(line + ", but " + n);
           }
         }
+        case "relayed-least" -> {
+          if (w.relayed < Integer.parseInt(e[2])) {
+            wrong.add(line + ", but " + w.relayed);
+          }
+        }
         case "questions-most" -> {
           if (w.questions > Integer.parseInt(e[2])) {
             wrong.add(line + ", but " + w.questions);
--- a/src/test/java/org/snowturn/sim/StandInWorker.java
+++ b/src/test/java/org/snowturn/sim/StandInWorker.java
@@ -227,6 +227,13 @@
     token = Math.max(token, given);
   }
 
+  /** Says how it is, to anybody. */
+  void status(World.Reply back) {
+    if (!dead && !hung) {
+      back.on(Outcome.ANSWERED, 200, body());
+    }
+  }
+
   /** A direct command; a hung machine executes it when it resumes. */
   void command(JsonNode body, World.Reply back) {
     if (dead) {
--- a/src/test/java/org/snowturn/sim/World.java
+++ b/src/test/java/org/snowturn/sim/World.java
@@ -16,6 +16,7 @@
 import org.snowturn.core.Effect;
 import org.snowturn.core.Input;
 import org.snowturn.core.Outcome;
+import org.snowturn.core.PeerRecord;
 
 /**
  * A small world in simulated time: controllers running the real core, and stand-ins for all they
@@ -61,6 +62,9 @@
 
   int questions;
 
+  /** Calls to the state service that went through a peer and were answered. */
+  int relayed;
+
   World(long seed, Settings[] settings, Tunables tunables) {
     this.random = new Random(seed);
     this.settings = settings;
@@ -242,6 +246,7 @@
           send(name, x.from, () -> x.answer.on(a.status(), a.body()));
         }
       } else if (e instanceof Effect.ToPeers p) {
+        relayed += p.message() instanceof PeerRecord.Relayed ? 1 : 0;
         for (Node peer : nodes) {
           if (peer != this) {
             send(name, peer.name, () -> peer.take(new Input.FromPeer(p.message())));
@@ -286,6 +291,13 @@
     }
 
     private void direct(Effect.Call c, Reply back) {
+      if (c.path().equals("/status")) {
+        StandInWorker asked = workers.get(c.addr());
+        if (asked != null) {
+          asked.status(back);
+        }
+        return;
+      }
       messages++;
       questions += c.body().path("orders").isEmpty() ? 1 : 0;
       StandInWorker w = workers.get(c.addr());
