--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.reach.Hearing;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Report;
@@ -22,14 +23,6 @@
   /** A machine that left a message unanswered gets no new work for so long, or until it reports. */
   private static final long UNANSWERED_MS = 1_500;
 
-  /** So many sweeps without a report, where so many reports were due, are no accident. */
-  private static final int DEAF_SWEEPS = 6;
-
-  private static final int DEAF_REPORTS = 15;
-
-  /** After such a silence probes that it spoilt are still to run out, and workers to come back. */
-  private static final long HEARING_AGAIN_MS = 2_500;
-
   private final Calls calls;
   private final Settings settings;
   private final Tunables tunables;
@@ -52,16 +45,12 @@
   private final FormatGate gate;
   private final JobGraph graph;
   private final Takeover takeover;
+  private final Hearing hearing;
   private final Map<String, PeerRecord.Progress> told = new HashMap<>();
   private final ArrayDeque<Outbox> toSend = new ArrayDeque<>();
   private boolean secondFormat;
   private long outboxLooks;
-  private boolean reported;
-  private int inVain;
-  private long unheardAt = Job.UNKNOWN;
-  private int sweepsBetter;
   private int haveBeenUp;
-  private int sweepsUnheard;
   private boolean watching;
   private boolean ended;
   private long watchFrom;
@@ -103,6 +92,7 @@
     placer =
         new Placer(calls, settings, ledger, machines, policy, order, spotLosses, this::mostHeard);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer, gate);
+    hearing = new Hearing(SWEEP_MS, settings.workers().reportS());
     darkZones = new DarkZones(machines.zoneCount());
     fleet =
         new Fleet(
@@ -322,7 +312,7 @@
       calls.answer(exchange, 200, Command.answer(token, List.of()));
       return;
     }
-    reported = true;
+    hearing.heard();
     take(m, r);
     List<Command> orders = reports.orders(m, r);
     m.lastAnswerAt = calls.now();
@@ -333,7 +323,7 @@
   public void reported(Report r) {
     Machine m = machines.find(r.machine());
     if (!ended && takeover.loaded() && m != null && !m.gone) {
-      reported = true;
+      hearing.heard();
       surroundings.workerHeard();
       m.probing = false;
       take(m, r);
@@ -374,7 +364,7 @@
     // again, and would never be probed.
     m.blockedUntil = Math.max(m.blockedUntil, calls.now() + UNANSWERED_MS);
     takeover.unanswered(m);
-    inVain++;
+    hearing.unanswered();
     if (m.probing || (hasBeenUp(m) && quiet(m))) {
       m.probing = false;
       if (m.suspect && m.lastReportAt != Job.UNKNOWN && replaceable()) {
@@ -390,22 +380,15 @@
    */
   private boolean neverHeard(Machine m) {
     boolean turnedOver = calls.now() - startedAt > Reports.turnOverMs(settings);
-    return (turnedOver || takeover.askedInVain(m)) && hearing() && darkZones.inReach();
-  }
-
-  /**
-   * Whether this node hears machines at all, and has for a while. A leader that nobody is better
-   * placed than stays through a cut: as its machines fall silent one after the other, the first of
-   * them would be taken for dead while the others are not yet late.
-   */
-  private boolean hearing() {
-    return calls.now() - unheardAt > HEARING_AGAIN_MS;
+    return (turnedOver || takeover.askedInVain(m))
+        && hearing.hears(calls.now())
+        && darkZones.inReach();
   }
 
   /** Whether silence is the machines' own, as the last sweep had it. */
   private boolean replaceable() {
     return calls.now() - startedAt > Reports.turnOverMs(settings)
-        && hearing()
+        && hearing.hears(calls.now())
         && darkZones.inReach();
   }
 
@@ -423,7 +406,7 @@
 
   private void sweep() {
     long now = calls.now();
-    if (handOver(deaf())) {
+    if (deaf()) {
       election.resign("no worker reaches this node any more");
       return;
     }
@@ -486,48 +469,19 @@
     takeover.sweep();
   }
 
-  /**
-   * Whether reports have stopped altogether. That is this node's own trouble, and is known long
-   * before its machines, one after the other, would seem to have died and be deleted. Counted in
-   * sweeps: a node that stood still has not listened meanwhile.
-   */
+  /** Whether this node should leave its place since no worker reaches it and a peer is reached. */
   private boolean deaf() {
-    sweepsUnheard = reported ? 0 : sweepsUnheard + 1;
-    inVain = reported ? 0 : inVain;
-    reported = false;
-    // All that have been up: counted by those that are heard at present, a node that no machine
-    // reaches any more would soon expect none to.
-    double expected = sweepsUnheard * SWEEP_MS / 1000.0 * haveBeenUp / settings.workers().reportS();
-    boolean silent =
-        sweepsUnheard >= DEAF_SWEEPS && expected > DEAF_REPORTS && !settings.peers().isEmpty();
-    if (silent) {
-      unheardAt = calls.now();
-    }
-    if (!silent || calls.now() - startedAt > Reports.turnOverMs(settings)) {
-      return silent;
-    }
-    // Early in a term workers may still wait for an answer from the node that led before. Then only
-    // questions in vain tell that nobody reaches this one.
-    if (inVain < DEAF_REPORTS && sweepsUnheard % DEAF_SWEEPS == 0) {
-      askSome();
-    }
-    return inVain >= DEAF_REPORTS;
-  }
-
-  private void askSome() {
-    List<Machine> all = machines.present();
-    int step = Math.max(1, all.size() / (3 * DEAF_REPORTS));
-    for (int i = 0; i < all.size(); i += step) {
+    hearing.sweep(haveBeenUp, calls.now());
+    boolean turnedOver = calls.now() - startedAt > Reports.turnOverMs(settings);
+    int toAsk = turnedOver ? 0 : hearing.wantsAsked();
+    List<Machine> all = toAsk == 0 ? List.of() : machines.present();
+    for (int i = 0; i < all.size(); i += Math.max(1, all.size() / toAsk)) {
       if (all.get(i).addr != null && hasBeenUp(all.get(i))) {
         all.get(i).outbox.ask();
       }
     }
-  }
-
-  /** A node that can hear nobody leaves its place to one that does, if that is still so shortly. */
-  private boolean handOver(boolean cannotServe) {
-    sweepsBetter = cannotServe && surroundings.otherMayServe() ? sweepsBetter + 1 : 0;
-    return sweepsBetter >= 2;
+    boolean deaf = hearing.deaf(turnedOver) && !settings.peers().isEmpty();
+    return hearing.handOver(deaf, surroundings.otherMayServe());
   }
 
   // --- the loop ---
