--- a/src/main/java/org/snowturn/core/Calls.java
+++ b/src/main/java/org/snowturn/core/Calls.java
@@ -8,6 +8,8 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.admission.StateBudget;
 import org.snowturn.core.recovery.Backoff;
 
 /** Collects effects, and remembers what to do with each reply and when a time has come. */
@@ -29,7 +31,17 @@
     }
   }
 
-  private final Map<Long, Then> waiting = new HashMap<>();
+  /** A call that has no reply yet. */
+  private record Open(Then then, boolean countsRequests) {}
+
+  private final Map<Long, Open> waiting = new HashMap<>();
+  private StateBudget budget;
+
+  /**
+   * Calls that were not made for want of budget: told as refused once the present input is over.
+   */
+  private List<Then> notMade = new ArrayList<>();
+
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
   private final RandomGenerator random;
   private long timerOrder;
@@ -44,6 +56,15 @@
     random = new SplittableRandom(seed);
   }
 
+  /** From now on, calls to the state service have to find room in this. */
+  void keep(StateBudget b) {
+    budget = b;
+  }
+
+  RandomGenerator random() {
+    return random;
+  }
+
   long now() {
     return now;
   }
@@ -89,12 +110,45 @@
     wall = wallMs;
   }
 
+  /** What a term reads or writes. */
   void state(String method, String path, JsonNode body, int timeoutMs, Then then) {
-    call(Effect.Target.STATE, null, method, path, body, timeoutMs, then);
+    state(Purpose.WORK, method, path, body, timeoutMs, then);
+  }
+
+  void state(Purpose purpose, String method, String path, JsonNode body, int timeoutMs, Then then) {
+    if (mayAsk(purpose, then)) {
+      call(Effect.Target.STATE, null, method, path, body, timeoutMs, then);
+    }
+  }
+
+  /** A question for changes, which may be held open. */
+  void watch(Purpose purpose, String path, int timeoutMs, Then then) {
+    if (mayAsk(purpose, then)) {
+      call(Effect.Target.STATE_WATCH, null, "GET", path, null, timeoutMs, then);
+    }
+  }
+
+  private boolean mayAsk(Purpose purpose, Then then) {
+    if (budget == null || budget.take(purpose, now)) {
+      return true;
+    }
+    notMade.add(then);
+    return false;
+  }
+
+  /**
+   * Tells who asked that calls were refused here. Not at once: nobody expects an answer while still
+   * asking.
+   */
+  void settle() {
+    List<Then> all = notMade;
+    notMade = new ArrayList<>();
+    all.forEach(t -> t.on(Outcome.REFUSED, 0, null));
   }
 
   /** A call on which this node's authority rests: it waits for no others. */
   void authority(String method, String path, JsonNode body, int timeoutMs, Then then) {
+    mayAsk(Purpose.AUTHORITY, then);
     call(Effect.Target.AUTHORITY, null, method, path, body, timeoutMs, then);
   }
 
@@ -107,7 +161,9 @@
       int timeoutMs,
       Then then) {
     long id = nextId++;
-    waiting.put(id, then);
+    boolean changes = path.equals("/txn"); // refused for either rate
+    boolean state = target != Effect.Target.CLOUD && target != Effect.Target.WORKER;
+    waiting.put(id, new Open(then, state && !changes));
     effects.add(new Effect.Call(id, target, addr, method, path, body, timeoutMs));
   }
 
@@ -128,10 +184,13 @@
   }
 
   void reply(Input.Reply r) {
-    Then then = waiting.remove(r.call());
-    if (then != null) {
+    Open open = waiting.remove(r.call());
+    if (open != null) {
+      if (r.status() == 429 && open.countsRequests && budget != null) {
+        budget.refusedThere(now);
+      }
       retryAfterMs = r.retryAfterMs();
-      then.on(r.outcome(), r.status(), r.body());
+      open.then.on(r.outcome(), r.status(), r.body());
       retryAfterMs = 0;
     }
   }
--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.admission.Admission;
 import org.snowturn.wire.Command;
 
 /**
@@ -21,6 +22,8 @@
   private final Election election;
   private final Surroundings surroundings;
   private final Relays relays;
+  private final Admission admission;
+  private final LivePicture picture;
   private Leader leader;
 
   /**
@@ -33,13 +36,31 @@
     this.settings = settings;
     this.tunables = tunables;
     calls = new Calls(incarnation.hashCode());
+    admission =
+        new Admission(
+            settings.peers().stream().map(Settings.Peer::node).toList(),
+            settings.stateLimits().least(settings.nextStateLimits()).rps(),
+            settings.stateLimits().least(settings.nextStateLimits()).writeRps(),
+            calls.random(),
+            startedMs);
+    calls.keep(admission.budget());
+    picture = new LivePicture(settings, calls);
     catalog = new Catalog(calls);
     election = new Election(settings, tunables, calls, incarnation, startedMs);
     gate = new FormatGate(settings, calls);
     surroundings = new Surroundings(settings, calls, election::stateOkAt);
     election.holdBackIf(surroundings::betterElsewhere);
     relays = new Relays(settings, calls, surroundings, () -> surroundings.mine().state());
-    desk = new UserDesk(settings, calls, catalog, gate, relays, election::stateHealthy);
+    desk =
+        new UserDesk(
+            settings,
+            calls,
+            catalog,
+            gate,
+            relays,
+            admission.gate(),
+            picture,
+            election::stateHealthy);
   }
 
   /** Takes one input and returns what is to be done. */
@@ -60,6 +81,7 @@
     } else if (input instanceof Input.FromPeer p) {
       fromPeer(p);
     }
+    calls.settle();
     follow();
     if (leader != null) {
       leader.flush();
@@ -83,6 +105,11 @@
     g.put("snowturn.format.gate", gate.open() ? 1.0 : 0.0);
     g.put("snowturn.relayed", (double) relays.relayed());
     g.putAll(surroundings.gauges());
+    g.putAll(admission.gauges(calls.now()));
+    g.put("snowturn.picture.jobs", (double) picture.size());
+    g.put("snowturn.picture.proofs", (double) picture.proofs());
+    g.put("snowturn.picture.loads", (double) picture.loads());
+    g.put("snowturn.picture.waiting", (double) picture.waiting());
     if (leader != null) {
       g.putAll(leader.gauges());
     }
@@ -94,6 +121,8 @@
     catalog.tick();
     election.tick();
     gate.tick();
+    picture.tick();
+    admit();
     follow();
     if (leader != null) {
       leader.tick();
@@ -102,6 +131,13 @@
     surroundings.tick(leader != null, names ? leader.someWorkers(Surroundings.SAMPLE) : List.of());
   }
 
+  private void admit() {
+    admission.led(leader == null ? 0 : leader.changesMade());
+    if (admission.tick(calls.now())) {
+      calls.toPeers(new PeerRecord.Need(settings.node(), admission.mine(calls.now())));
+    }
+  }
+
   /** Starts or ends a term as the election has it. */
   private void follow() {
     if (leader != null && (!election.leading() || election.token() != leader.token())) {
@@ -109,7 +145,17 @@
       leader = null;
     }
     if (leader == null && election.leading()) {
-      leader = new Leader(calls, settings, tunables, election, catalog, gate, desk, surroundings);
+      leader =
+          new Leader(
+              calls,
+              settings,
+              tunables,
+              election,
+              catalog,
+              gate,
+              desk,
+              surroundings,
+              rate -> admission.mayLead(rate, calls.now()));
     }
   }
 
@@ -125,6 +171,8 @@
   private void fromPeer(Input.FromPeer p) {
     if (p.message() instanceof PeerRecord.Progress g) {
       desk.progress(g);
+    } else if (p.message() instanceof PeerRecord.Need m) {
+      admission.told(m.from(), m.need(), calls.now());
     } else if (p.message() instanceof PeerRecord.Reaches m) {
       surroundings.told(m);
     } else if (p.message() instanceof PeerRecord.Sample m) {
--- a/src/main/java/org/snowturn/core/Election.java
+++ b/src/main/java/org/snowturn/core/Election.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
@@ -577,12 +578,9 @@
 
   private void watch() {
     watching = true;
-    calls.call(
-        Effect.Target.STATE_WATCH,
-        null,
-        "GET",
+    calls.watch(
+        Purpose.AUTHORITY,
         "/watch?prefix=" + Keys.LEADER_PREFIX + "&since=" + watchFrom + "&hold_ms=5000",
-        null,
         7000,
         (outcome, status, body) -> {
           watching = false;
--- a/src/main/java/org/snowturn/core/FormatGate.java
+++ b/src/main/java/org/snowturn/core/FormatGate.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.snowturn.config.Settings;
+import org.snowturn.core.admission.Purpose;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
@@ -91,6 +92,7 @@
     List<Runnable> toTell = List.copyOf(waiting);
     waiting.clear();
     calls.state(
+        Purpose.REST,
         "GET",
         "/kv?prefix=" + Keys.FORMAT + "&most=500",
         null,
@@ -173,6 +175,7 @@
 
   private void put(String key, JsonNode value, Calls.Then then) {
     calls.state(
+        Purpose.REST,
         "POST",
         "/txn",
         StateMessage.txn(List.of(new Condition(key, 0)), List.of(Change.put(key, value))),
--- a/src/main/java/org/snowturn/core/JobFinder.java
+++ b/src/main/java/org/snowturn/core/JobFinder.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import org.snowturn.core.admission.Purpose;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
@@ -38,6 +39,7 @@
   }
 
   private final Calls calls;
+  private final Purpose purpose;
   private final List<String> order;
   private final Map<String, Fact> found = new HashMap<>();
   private final TreeSet<String> notHere = new TreeSet<>();
@@ -49,11 +51,17 @@
   /**
    * Finds some jobs and hands over what is stored of each that was ever accepted, by its id.
    *
+   * @param purpose what the reads are for
    * @param withinMs the time after which nobody wants to know any more
    */
   static void find(
-      Calls calls, List<String> order, Collection<String> ids, long withinMs, Then then) {
-    JobFinder f = new JobFinder(calls, order, calls.now() + withinMs, then);
+      Calls calls,
+      Purpose purpose,
+      List<String> order,
+      Collection<String> ids,
+      long withinMs,
+      Then then) {
+    JobFinder f = new JobFinder(calls, purpose, order, calls.now() + withinMs, then);
     if (ids.size() > ONE_BY_ONE) {
       f.range(0, new TreeSet<>(ids));
       return;
@@ -63,7 +71,8 @@
     f.finishIfAllAnswered();
   }
 
-  private JobFinder(Calls calls, List<String> order, long until, Then then) {
+  private JobFinder(Calls calls, Purpose purpose, List<String> order, long until, Then then) {
+    this.purpose = purpose;
     this.calls = calls;
     this.order = order;
     this.until = until;
@@ -86,6 +95,7 @@
 
   private void one(int place, String id) {
     calls.state(
+        purpose,
         "GET",
         "/kv/" + order.get(place) + id,
         null,
@@ -125,6 +135,7 @@
     int end = next.length() - 1;
     String since = next.substring(0, end) + (char) (next.charAt(end) - 1) + "~";
     calls.state(
+        purpose,
         "GET",
         "/kv?prefix=" + prefix + "&since=" + since + "&most=" + PAGE,
         null,
--- a/src/main/java/org/snowturn/core/JobGraph.java
+++ b/src/main/java/org/snowturn/core/JobGraph.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.snowturn.core.admission.Purpose;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Priority;
@@ -207,6 +208,7 @@
     List<String> ids = List.copyOf(unknown);
     JobFinder.find(
         calls,
+        Purpose.WORK,
         JobFinder.OVER_FIRST,
         ids,
         LOOK_WITHIN_MS,
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.DoubleUnaryOperator;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.reach.Hearing;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.MalformedException;
@@ -68,7 +70,8 @@
       Catalog catalog,
       FormatGate gate,
       UserDesk desk,
-      Surroundings surroundings) {
+      Surroundings surroundings,
+      DoubleUnaryOperator share) {
     this.surroundings = surroundings;
     this.calls = calls;
     this.gate = gate;
@@ -81,7 +84,7 @@
     this.startedAt = calls.now();
     FleetPolicy policy = FleetPolicy.of(settings, catalog::quickestBootS);
     machines = new MachineBook(settings.zones(), m -> new Outbox(calls, this, m));
-    writer = new Writer(calls, this, gate::limits);
+    writer = new Writer(calls, this, gate::limits, share);
     ledger = new Ledger(calls, gate, writer, machines, new Quota(settings.teams()), token);
     graph = new JobGraph(calls, gate, ledger, writer);
     ledger.listen(graph);
@@ -179,6 +182,11 @@
     return out;
   }
 
+  /** How many changes a second this term has written lately. */
+  double changesMade() {
+    return writer.spent();
+  }
+
   Map<String, Double> gauges() {
     Map<String, Double> g = new HashMap<>();
     int pending = 0;
@@ -245,12 +253,9 @@
 
   private void watchJobs() {
     watching = true;
-    calls.call(
-        Effect.Target.STATE_WATCH,
-        null,
-        "GET",
+    calls.watch(
+        Purpose.WORK,
         "/watch?prefix=" + Keys.JOBS + "&since=" + watchFrom + "&hold_ms=10000",
-        null,
         12000,
         (outcome, status, body) -> {
           watching = false;
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/Ledger.java
@@ -402,6 +402,7 @@
     boundBy[j.priority.ordinal()]++;
     j.countInRecord(t, m, 1);
     m.bound.add(Job.ref(j.index, t));
+    m.count(j.priority, 1);
     m.use(j.spec, 1);
     quota.take(j.spec);
   }
@@ -449,6 +450,12 @@
     if (p != j.priority) {
       boundBy[j.priority.ordinal()] -= j.bound;
       boundBy[p.ordinal()] += j.bound;
+      for (int t = 0; j.bound > 0 && t < j.state.length; t++) {
+        if (j.isBound(t)) {
+          machines.get(j.machine[t]).count(j.priority, -1);
+          machines.get(j.machine[t]).count(p, 1);
+        }
+      }
       j.priority = p;
       changed = true;
     }
@@ -570,6 +577,7 @@
   private void unbind(Job j, int t) {
     Machine m = machines.get(j.machine[t]);
     m.bound.remove(Job.ref(j.index, t));
+    m.count(j.priority, -1);
     m.use(j.spec, -1);
     if (m.bound.isEmpty()) {
       m.idleSince = calls.now();
--- /dev/null
+++ b/src/main/java/org/snowturn/core/LivePicture.java
@@ -0,0 +1,202 @@
+package org.snowturn.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.snowturn.config.Settings;
+import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.picture.LiveJobs;
+import org.snowturn.core.recovery.Backoff;
+import org.snowturn.wire.JobView;
+import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.StateMessage;
+
+/**
+ * Keeps a picture of the live jobs on every node and proves that it is fresh: one question for the
+ * changes since, sent after all who wait for it have asked, answers them all. So polls cost the
+ * state service nothing apiece; what it is asked grows with time and with changes.
+ */
+final class LivePicture {
+  /** Of the state service's requests, the proofs of all nodes together take no more than this. */
+  private static final double MOST_OF_RATE = 0.15;
+
+  private static final long LEAST_EVERY_MS = 100;
+
+  /**
+   * Without anybody who asks, the changes are fetched now and then: their past is kept not long.
+   */
+  private static final long REFRESH_MS = 5_000;
+
+  /** Users wait two seconds for a poll. */
+  private static final long PATIENCE_MS = 1_500;
+
+  private static final int TIMEOUT_MS = 1_000;
+  private static final int MOST_WAITING = 5_000;
+
+  private record Asker(long until, Runnable fresh, Runnable unknown) {}
+
+  private final Calls calls;
+  private final long everyMs;
+  private final LiveJobs jobs =
+      new LiveJobs(Keys.JOBS, v -> StoredJob.phaseOf(v) == JobView.Phase.ABORTED);
+  private final Backoff backoff;
+  private ArrayDeque<Asker> waiting = new ArrayDeque<>();
+  private boolean busy;
+  private long nextAt;
+  private long freshAt = Job.UNKNOWN;
+  private long proofs;
+  private long loads;
+
+  LivePicture(Settings settings, Calls calls) {
+    this.calls = calls;
+    this.backoff = calls.backoff(LEAST_EVERY_MS, 1_000);
+    int nodes = settings.peers().size() + 1;
+    double each = settings.stateLimits().rps() * MOST_OF_RATE / nodes;
+    everyMs = Math.max(LEAST_EVERY_MS, (long) (1000 / Math.max(0.1, each)));
+  }
+
+  /** Whether there is a picture that can be proven fresh by one question. */
+  boolean known() {
+    return jobs.known();
+  }
+
+  /** A live job, as of the last proof; null if there was none of this name. */
+  LiveJobs.Seen get(String id) {
+    return jobs.get(id);
+  }
+
+  /**
+   * Calls one of the two, once: {@code fresh} when the picture holds everything that was stored
+   * when this was called, {@code unknown} if that could not be found out in the time that a user
+   * waits.
+   */
+  void whenFresh(Runnable fresh, Runnable unknown) {
+    if (waiting.size() >= MOST_WAITING) {
+      unknown.run();
+      return;
+    }
+    waiting.add(new Asker(calls.now() + PATIENCE_MS, fresh, unknown));
+    step();
+  }
+
+  void tick() {
+    while (!waiting.isEmpty() && waiting.peek().until <= calls.now()) {
+      waiting.poll().unknown.run();
+    }
+    step();
+  }
+
+  private void step() {
+    long now = calls.now();
+    boolean wanted = !waiting.isEmpty() || now - freshAt >= REFRESH_MS;
+    if (busy || now < nextAt || !wanted) {
+      return;
+    }
+    busy = true;
+    nextAt = now + everyMs;
+    if (jobs.known()) {
+      prove();
+    } else {
+      load();
+    }
+  }
+
+  private void prove() {
+    // Only who had asked before the question is sent is answered by it.
+    ArrayDeque<Asker> covered = waiting;
+    waiting = new ArrayDeque<>();
+    proofs++;
+    calls.watch(
+        Purpose.PROOFS,
+        "/watch?prefix=" + Keys.JOBS + "&since=" + jobs.revision() + "&hold_ms=0",
+        TIMEOUT_MS,
+        (outcome, status, body) -> {
+          busy = false;
+          if (outcome == Outcome.ANSWERED && status == 200 && follow(body)) {
+            freshAt = calls.now();
+            backoff.reset();
+            covered.forEach(a -> a.fresh.run());
+            return;
+          }
+          if (outcome == Outcome.ANSWERED && status == 410) {
+            jobs.drop(); // the changes since are gone: the whole is read again
+          }
+          covered.addAll(waiting);
+          waiting = covered;
+          nextAt = calls.now() + backoff.next(calls.retryAfterMs());
+        });
+  }
+
+  private boolean follow(JsonNode body) {
+    try {
+      long epoch = StateMessage.epoch(body);
+      if (epoch < jobs.revision()) {
+        return false; // older than what has been told already
+      }
+      jobs.follow(StateMessage.events(body), epoch);
+      return true;
+    } catch (MalformedException e) {
+      calls.note("unusable changes of jobs: " + e.getMessage());
+      jobs.drop();
+      return false;
+    }
+  }
+
+  private void load() {
+    loads++;
+    page(null, new ArrayList<>(), Long.MAX_VALUE);
+  }
+
+  private void page(String since, List<StateMessage.Entry> sofar, long oldest) {
+    calls.state(
+        Purpose.PROOFS,
+        "GET",
+        Loader.pagePath(Keys.JOBS, since),
+        null,
+        Loader.TIMEOUT_MS,
+        (outcome, status, body) -> {
+          try {
+            if (outcome == Outcome.ANSWERED && status == 200) {
+              List<StateMessage.Entry> got = StateMessage.entries(body);
+              long epoch = Math.min(oldest, StateMessage.epoch(body));
+              sofar.addAll(got);
+              if (StateMessage.more(body) && !got.isEmpty()) {
+                page(got.get(got.size() - 1).key(), sofar, epoch);
+              } else {
+                busy = false;
+                jobs.load(sofar, epoch);
+                backoff.reset();
+                nextAt = calls.now();
+                step();
+              }
+              return;
+            }
+          } catch (MalformedException e) {
+            calls.note("unusable page of jobs: " + e.getMessage());
+          }
+          busy = false;
+          nextAt = calls.now() + backoff.next(calls.retryAfterMs());
+        });
+  }
+
+  /** How many questions proved the picture, or tried to. */
+  long proofs() {
+    return proofs;
+  }
+
+  /** How many times the whole was read. */
+  long loads() {
+    return loads;
+  }
+
+  /** How many live jobs it holds. */
+  int size() {
+    return jobs.size();
+  }
+
+  /** How many wait for a proof. */
+  int waiting() {
+    return waiting.size();
+  }
+}
--- a/src/main/java/org/snowturn/core/Loader.java
+++ b/src/main/java/org/snowturn/core/Loader.java
@@ -14,7 +14,14 @@
  * again ever later: at once, a refusal (429, 503) would become a loop at the network's speed.
  */
 final class Loader {
+  static final int TIMEOUT_MS = 2_500;
   private static final int PAGE = 500;
+
+  /** Asks for the page after {@code since}; null: the first. */
+  static String pagePath(String prefix, String since) {
+    return "/kv?prefix=" + prefix + "&most=" + PAGE + (since == null ? "" : "&since=" + since);
+  }
+
   private final Calls calls;
   private final Backoff backoff;
   private final BooleanSupplier over;
@@ -43,13 +50,11 @@
       List<StateMessage.Entry> sofar,
       long epoch,
       Consumer<Range> then) {
-    String path =
-        "/kv?prefix=" + prefix + "&most=" + PAGE + (since == null ? "" : "&since=" + since);
     calls.state(
         "GET",
-        path,
+        pagePath(prefix, since),
         null,
-        2500,
+        TIMEOUT_MS,
         (outcome, status, body) -> {
           if (outcome == Outcome.ANSWERED && status == 200) {
             try {
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/Machine.java
@@ -6,6 +6,7 @@
 import org.snowturn.wire.CloudMachine;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.MachineType;
+import org.snowturn.wire.Priority;
 
 /** A machine as the leader sees it: its session, what may be on it, and how it has been doing. */
 final class Machine {
@@ -63,6 +64,9 @@
   /** Tasks that run there of jobs that are left alone since a record cannot be read. */
   int unaccounted;
 
+  /** How many of what is bound there is of each priority. */
+  private final int[] boundBy = new int[Priority.values().length];
+
   /** How many of them an earlier leader bound and this one has not seen yet. */
   int inherited;
 
@@ -129,6 +133,20 @@
     }
   }
 
+  /** A task of this priority has come, or gone. */
+  void count(Priority p, int sign) {
+    boundBy[p.ordinal()] += sign;
+  }
+
+  /** How many of the tasks there are of lower priority than this. */
+  int boundBelow(Priority p) {
+    int n = 0;
+    for (int i = p.ordinal() + 1; i < boundBy.length; i++) {
+      n += boundBy[i];
+    }
+    return n;
+  }
+
   /** Taken for gone because it was neither heard of nor listed, and yet there: starts anew. */
   void comeBack() {
     gone = false;
--- a/src/main/java/org/snowturn/core/PeerRecord.java
+++ b/src/main/java/org/snowturn/core/PeerRecord.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import org.snowturn.core.admission.Needs;
 import org.snowturn.core.reach.Reach;
 
 /** What controllers tell each other; {@code from} is the sender's name. */
@@ -47,6 +48,9 @@
   record Relayed(String from, String to, long seq, Outcome outcome, int status, JsonNode body)
       implements PeerRecord {}
 
+  /** What the sender needs of the state service's rates. */
+  record Need(String from, Needs.Need need) implements PeerRecord {}
+
   /** How far a job is, for display. */
   record Progress(String from, String job, int done, int running) implements PeerRecord {}
 }
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
 import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.Priority;
 
 /**
  * Decides which waiting task goes where. Constraints are tested against every task that may still
@@ -54,6 +56,15 @@
   /** What found no room in the present plan. */
   private final List<JobSpec> tooLarge = new ArrayList<>();
 
+  /** For what no room could be made in the present plan, and at which priority. */
+  private final List<NoRoom> noRoom = new ArrayList<>();
+
+  private record NoRoom(JobSpec spec, Priority priority) {}
+
+  /** In the present plan, the machines with work that a priority may stop; found when needed. */
+  private final Map<Priority, List<Machine>> stoppable = new EnumMap<>(Priority.class);
+
+  private List<Machine> planned = List.of();
   private long looks;
 
   /** The policy's, at the present plan. */
@@ -95,6 +106,7 @@
     long now = calls.now();
     plenty = policy.plenty();
     List<Machine> usable = new ArrayList<>();
+    planned = usable;
     for (Machine m : machines.present()) {
       if (m.usable(now) && machines.zoneKnown(m.zone)) {
         usable.add(m);
@@ -108,10 +120,11 @@
         waiting.add(j);
       }
     }
-    waiting.sort(order.at(calls.wall()));
     boolean room = true;
     tooLarge.clear();
-    for (Job j : waiting) {
+    noRoom.clear();
+    stoppable.clear();
+    for (Job j : order.sorted(waiting, calls.wall())) {
       if (!placeJob(j, usable)) {
         room = false;
         makeRoom(j, usable);
@@ -126,16 +139,26 @@
    */
   private boolean knownTooLarge(JobSpec s) {
     for (JobSpec t : tooLarge) {
-      boolean noLess = s.cpus() >= t.cpus() && s.memoryGb() >= t.memoryGb() && s.gpus() >= t.gpus();
-      if (noLess && (t.spot() || !s.spot())) {
+      if (asksNoLess(s, t)) {
         return true;
       }
     }
     return false;
   }
 
+  private static boolean asksNoLess(JobSpec s, JobSpec than) {
+    return s.cpus() >= than.cpus()
+        && s.memoryGb() >= than.memoryGb()
+        && s.gpus() >= than.gpus()
+        && (than.spot() || !s.spot());
+  }
+
+  private static boolean unconstrained(JobSpec s) {
+    return s.types() == null && s.zone() == null && !s.spread() && !s.oneZone();
+  }
+
   private void foundTooLarge(JobSpec s) {
-    if (s.types() == null && s.zone() == null && !s.spread() && !s.oneZone()) {
+    if (unconstrained(s)) {
       tooLarge.add(s);
     }
   }
@@ -415,11 +438,13 @@
     }
     if (!mayStop.getAsBoolean()
         || ledger.boundBelow(j.priority) == 0
-        || !ledger.quota().allows(j.spec)) {
+        || !ledger.quota().allows(j.spec)
+        || knownNoRoom(j)) {
       return false;
     }
     List<Room> rooms = new ArrayList<>();
-    for (Machine m : usable) {
+    for (Machine m : withStoppable(j.priority, usable)) {
+      looks++;
       if (now >= m.preemptingUntil && allowed(j, m)) {
         List<Long> victims = victims(j, m);
         if (victims != null) {
@@ -427,6 +452,9 @@
         }
       }
     }
+    if (rooms.isEmpty() && unconstrained(j.spec)) {
+      noRoom.add(new NoRoom(j.spec, j.priority));
+    }
     rooms.sort(Comparator.comparingDouble(Room::score));
     int[] inZone = j.boundInZone.clone();
     int wanted = j.pending;
@@ -451,6 +479,38 @@
     return now < j.roomUntil;
   }
 
+  /**
+   * Whether for a job that asks for no more, at no lower priority, no room could be made in this
+   * plan. In a flood hundreds of jobs wait beside a few that may be stopped: looked for by each of
+   * them on each machine, those few cost a leader seconds, and its lease.
+   */
+  private boolean knownNoRoom(Job j) {
+    for (NoRoom n : noRoom) {
+      if (j.priority.compareTo(n.priority) >= 0 && asksNoLess(j.spec, n.spec)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private List<Machine> withStoppable(Priority p, List<Machine> usable) {
+    // What only some machines are asked for is not what the plan has found.
+    boolean all = usable == planned;
+    List<Machine> known = all ? stoppable.get(p) : null;
+    if (known == null) {
+      known = new ArrayList<>();
+      for (Machine m : usable) {
+        if (m.boundBelow(p) > 0) {
+          known.add(m);
+        }
+      }
+      if (all) {
+        stoppable.put(p, known);
+      }
+    }
+    return known;
+  }
+
   /** What would have to stop on a machine for one task to start there. */
   private record Room(Machine machine, List<Long> victims, double score) {}
 
--- a/src/main/java/org/snowturn/core/Relays.java
+++ b/src/main/java/org/snowturn/core/Relays.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.admission.Purpose;
 import org.snowturn.wire.Json;
 
 /**
@@ -42,16 +43,22 @@
     this.ownLink = ownLink;
   }
 
+  /** Whether the state service answers this node itself. */
+  boolean direct() {
+    return ownLink.getAsBoolean();
+  }
+
   /** Whether there is any way to the state service. */
   boolean possible() {
     return ownLink.getAsBoolean() || surroundings.peerWithState() != null;
   }
 
   /** One call to the state service, whichever way. */
-  void state(String method, String path, JsonNode body, int timeoutMs, Calls.Then then) {
+  void state(
+      Purpose purpose, String method, String path, JsonNode body, int timeoutMs, Calls.Then then) {
     String peer = ownLink.getAsBoolean() ? null : surroundings.peerWithState();
     if (peer == null) {
-      calls.state(method, path, body, timeoutMs, then);
+      calls.state(purpose, method, path, body, timeoutMs, then);
       return;
     }
     boolean tooLong = body != null && Json.bytes(body).length > MOST_BYTES;
@@ -84,6 +91,7 @@
     }
     forPeers++;
     calls.state(
+        Purpose.USERS,
         r.method(),
         r.path(),
         r.body(),
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/UserDesk.java
@@ -9,6 +9,9 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.admission.SubmitGate;
+import org.snowturn.core.picture.LiveJobs;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.Json;
@@ -29,13 +32,14 @@
   private static final long FIND_WITHIN_MS = 3_500;
 
   private static final int REMEMBERED = 20_000;
-  private static final int AGAIN_S = 1;
   private final Settings settings;
   private final Calls calls;
   private final Catalog catalog;
   private final BooleanSupplier stateHealthy;
-  private final FormatGate gate;
+  private final FormatGate format;
   private final Relays relays;
+  private final SubmitGate gate;
+  private final LivePicture picture;
   private final Map<String, JobView> over = new Recent<>(REMEMBERED);
 
   /** Jobs known to have been accepted, and whether they are services: neither ever changes. */
@@ -47,11 +51,15 @@
       Settings settings,
       Calls calls,
       Catalog catalog,
-      FormatGate gate,
+      FormatGate format,
       Relays relays,
+      SubmitGate gate,
+      LivePicture picture,
       BooleanSupplier stateHealthy) {
     this.relays = relays;
     this.gate = gate;
+    this.picture = picture;
+    this.format = format;
     this.stateHealthy = stateHealthy;
     this.settings = settings;
     this.calls = calls;
@@ -67,10 +75,22 @@
     if (stateHealthy.getAsBoolean() || relays.possible()) {
       return false;
     }
-    calls.refuse(exchange, 503, AGAIN_S);
+    refuse(exchange);
     return true;
   }
 
+  /** The state service takes no more changes for now. */
+  private void heed(int status) {
+    if (status == 429) {
+      gate.refusedThere(calls.now());
+    }
+  }
+
+  /** Not now: with a time to come back that grows with the pressure. */
+  private void refuse(long exchange) {
+    calls.refuse(exchange, 503, gate.retryAfterS(calls.now()));
+  }
+
   void submit(long exchange, JobSpec spec) {
     if (refusedForNow(exchange)) {
       return;
@@ -80,7 +100,7 @@
       unlessKnown(exchange, spec, never);
     } else if (spec.awaits().isEmpty()) {
       write(exchange, spec);
-    } else if (!gate.open()) {
+    } else if (!format.open()) {
       // A node of the version before would take the job for one that need not wait.
       unlessKnown(exchange, spec, null);
     } else {
@@ -99,7 +119,7 @@
           } else if (never != null) {
             calls.answer(exchange, 422, Json.object().put("error", never));
           } else {
-            calls.refuse(exchange, 503, AGAIN_S);
+            refuse(exchange);
           }
         });
   }
@@ -118,6 +138,7 @@
     }
     JobFinder.find(
         calls,
+        Purpose.USERS,
         JobFinder.LIVE_FIRST,
         unknown,
         FIND_WITHIN_MS,
@@ -125,7 +146,7 @@
           found.forEach((id, fact) -> services.put(id, fact.service()));
           accepted.putAll(services); // the next try need not ask again
           if (!complete) {
-            calls.refuse(exchange, 503, AGAIN_S);
+            refuse(exchange);
             return;
           }
           String never = whyNever(spec.awaits(), services);
@@ -150,10 +171,19 @@
   }
 
   private void write(long exchange, JobSpec spec) {
+    if (!gate.admits(spec.jobClass() + "/" + spec.team(), 1, calls.now())) {
+      // A known job's repeat is answered whatever the pressure, from what is at hand.
+      if (accepted.containsKey(spec.id()) || (picture.known() && picture.get(spec.id()) != null)) {
+        unlessKnown(exchange, spec, null);
+      } else {
+        refuse(exchange);
+      }
+      return;
+    }
     StoredJob job = new StoredJob(JobView.Phase.QUEUED, calls.wall(), spec);
-    int room = gate.limits().valueBytes();
+    int room = format.limits().valueBytes();
     ObjectNode record = job.live();
-    if (!gate.open() || Json.bytes(record).length <= room) {
+    if (!format.open() || Json.bytes(record).length <= room) {
       commit(exchange, spec, record, List.of());
       return;
     }
@@ -189,6 +219,7 @@
     /** Learns what an earlier try has stored already. */
     void look() {
       relays.state(
+          Purpose.USERS,
           "GET",
           "/kv?prefix=" + prefix + "&most=1000",
           null,
@@ -206,7 +237,7 @@
             } catch (MalformedException e) {
               calls.note("unusable parts of " + spec.id() + ": " + e.getMessage());
             }
-            calls.refuse(exchange, 503, AGAIN_S);
+            refuse(exchange);
           });
     }
 
@@ -221,7 +252,7 @@
     private void next() {
       List<Condition> when = new ArrayList<>(isNew(spec.id()));
       List<Change> apply = new ArrayList<>();
-      int most = stored.get(0) ? gate.limits().txnOps() : 1;
+      int most = stored.get(0) ? format.limits().txnOps() : 1;
       when.add(new Condition(prefix + 0, first));
       BitSet written = new BitSet();
       for (int i = stored.nextClearBit(0); i < parts.size() && apply.size() < most; ) {
@@ -229,11 +260,13 @@
         written.set(i);
         i = stored.nextClearBit(i + 1);
       }
+      gate.spend(apply.size(), calls.now());
       if (apply.isEmpty()) {
         commit(exchange, spec, job.live(), List.of(new Condition(prefix + 0, first)));
         return;
       }
       relays.state(
+          Purpose.USERS,
           "POST",
           "/txn",
           StateMessage.txn(when, apply),
@@ -262,6 +295,7 @@
     List<Condition> when = new ArrayList<>(isNew(spec.id()));
     when.addAll(parts);
     relays.state(
+        Purpose.USERS,
         "POST",
         "/txn",
         StateMessage.txn(when, List.of(Change.put(Keys.job(spec.id()), record))),
@@ -273,7 +307,8 @@
           } else if (outcome == Outcome.ANSWERED && status == 409) {
             unlessKnown(exchange, spec, null);
           } else {
-            calls.refuse(exchange, 503, AGAIN_S);
+            heed(status);
+            refuse(exchange);
           }
         });
   }
@@ -323,32 +358,64 @@
     void on(JobView view);
   }
 
-  /** Reads a live record, then what remains of a job that is over: records only move that way. */
+  /**
+   * What is known of a job: at once if it is over, from the picture of the live ones once that is
+   * proven fresh, and else from the records themselves.
+   */
   private void lookUp(long exchange, String id, Found then) {
     JobView known = over.get(id);
     if (known != null) {
       then.on(known);
-      return;
+    } else if (picture.known() && relays.direct()) {
+      picture.whenFresh(
+          () -> {
+            LiveJobs.Seen live = picture.get(id);
+            if (live != null) {
+              then.on(
+                  liveView(id, live.cancelled() ? JobView.Phase.ABORTED : JobView.Phase.QUEUED));
+            } else {
+              readOver(exchange, id, () -> readBoth(exchange, id, then), then);
+            }
+          },
+          () -> refuse(exchange));
+    } else {
+      readBoth(exchange, id, then);
     }
+  }
+
+  private void readOver(long exchange, String id, Runnable absent, Found then) {
     readOne(
+        Purpose.USERS,
+        exchange,
+        Keys.over(id),
+        done -> {
+          if (done == null) {
+            absent.run();
+          } else {
+            then.on(view(id, done.value()));
+          }
+        });
+  }
+
+  /** Reads a live record, then what remains of a job that is over: records only move that way. */
+  private void readBoth(long exchange, String id, Found then) {
+    readOne(
+        Purpose.READS,
         exchange,
         Keys.job(id),
         live -> {
           if (live != null) {
             then.on(view(id, live.value()));
           } else {
-            readOne(
-                exchange,
-                Keys.over(id),
-                done -> then.on(done == null ? null : view(id, done.value())));
+            readOver(exchange, id, () -> then.on(null), then);
           }
         });
   }
 
   private JobView view(String id, JsonNode value) {
     JobView.Phase phase = StoredJob.phaseOf(value);
-    PeerRecord.Progress p = progress.get(id);
     if (phase.terminal()) {
+      PeerRecord.Progress p = progress.get(id);
       int tasks = value.has("n") ? value.path("n").asInt() : value.path("s").path("flakes").asInt();
       int done = phase == JobView.Phase.DONE ? tasks : p == null ? 0 : p.done();
       JobView v = new JobView(id, phase, done, 0);
@@ -356,6 +423,18 @@
       progress.remove(id);
       return v;
     }
+    return liveView(id, phase);
+  }
+
+  /** A job with a live record, which may be cancelled. */
+  private JobView liveView(String id, JobView.Phase phase) {
+    PeerRecord.Progress p = progress.get(id);
+    if (phase.terminal()) {
+      JobView v = new JobView(id, phase, p == null ? 0 : p.done(), 0);
+      over.put(id, v);
+      progress.remove(id);
+      return v;
+    }
     if (p == null) {
       return new JobView(id, phase, 0, 0);
     }
@@ -367,8 +446,9 @@
     void on(StateMessage.Entry entry);
   }
 
-  private void readOne(long exchange, String key, Read then) {
+  private void readOne(Purpose purpose, long exchange, String key, Read then) {
     relays.state(
+        purpose,
         "GET",
         "/kv/" + key,
         null,
@@ -386,7 +466,7 @@
               calls.note("unusable record " + key + ": " + e.getMessage());
             }
           }
-          calls.refuse(exchange, 503, AGAIN_S);
+          refuse(exchange);
         });
   }
 
@@ -401,6 +481,7 @@
 
   private void cancel(long exchange, String id, int tries) {
     readOne(
+        Purpose.USERS,
         exchange,
         Keys.job(id),
         live -> {
@@ -414,7 +495,7 @@
                   } else if (view.phase().terminal()) {
                     calls.answer(exchange, 200, view.brief());
                   } else {
-                    calls.refuse(exchange, 503, AGAIN_S);
+                    refuse(exchange);
                   }
                 });
             return;
@@ -424,12 +505,14 @@
   }
 
   private void writeCancel(long exchange, String id, StateMessage.Entry live, int tries) {
-    JsonNode value = StoredJob.cancelled(live.value(), gate.limits().valueBytes());
+    gate.spend(1, calls.now());
+    JsonNode value = StoredJob.cancelled(live.value(), format.limits().valueBytes());
     JsonNode body =
         StateMessage.txn(
             List.of(new Condition(Keys.job(id), live.stamp())),
             List.of(Change.put(Keys.job(id), value)));
     relays.state(
+        Purpose.USERS,
         "POST",
         "/txn",
         body,
@@ -441,7 +524,7 @@
           } else if (outcome == Outcome.ANSWERED && status == 409 && tries > 1) {
             cancel(exchange, id, tries - 1);
           } else {
-            calls.refuse(exchange, 503, AGAIN_S);
+            refuse(exchange);
           }
         });
   }
--- a/src/main/java/org/snowturn/core/WaitingOrder.java
+++ b/src/main/java/org/snowturn/core/WaitingOrder.java
@@ -1,7 +1,8 @@
 package org.snowturn.core;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,14 +45,32 @@
     }
   }
 
-  /** The order at a time of day. */
-  Comparator<Job> at(double wall) {
-    return Comparator.<Job>comparingInt(j -> j.priority.ordinal())
-        .thenComparingInt(j -> j.spec.service() ? 0 : 1)
-        .thenComparingInt(j -> urgency(j, wall))
-        .thenComparingDouble(WaitingOrder::workLeft)
-        .thenComparingLong(j -> j.submittedWall)
-        .thenComparing(j -> j.spec.id());
+  /** A job with what decides its place: worked out once, not at each comparison. */
+  private record Placed(Job job, int rank, int urgency, double work) implements Comparable<Placed> {
+    @Override
+    public int compareTo(Placed o) {
+      int c = Integer.compare(rank, o.rank);
+      c = c != 0 ? c : Integer.compare(urgency, o.urgency);
+      c = c != 0 ? c : Double.compare(work, o.work);
+      c = c != 0 ? c : Long.compare(job.submittedWall, o.job.submittedWall);
+      return c != 0 ? c : job.spec.id().compareTo(o.job.spec.id());
+    }
+  }
+
+  /** The jobs in the order at a time of day. */
+  List<Job> sorted(Collection<Job> jobs, double wall) {
+    Placed[] all = new Placed[jobs.size()];
+    int n = 0;
+    for (Job j : jobs) {
+      int rank = 2 * j.priority.ordinal() + (j.spec.service() ? 0 : 1);
+      all[n++] = new Placed(j, rank, urgency(j, wall), workLeft(j));
+    }
+    Arrays.sort(all);
+    List<Job> out = new ArrayList<>(n);
+    for (Placed p : all) {
+      out.add(p.job);
+    }
+    return out;
   }
 
   /** 0: little time to spare for some aim; 1: more than that; 2: late for all whatever is done. */
--- a/src/main/java/org/snowturn/core/Writer.java
+++ b/src/main/java/org/snowturn/core/Writer.java
@@ -9,8 +9,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.DoubleUnaryOperator;
 import java.util.function.Supplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.admission.Meter;
 import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
@@ -26,9 +28,6 @@
  * nothing. A reply that never came is settled by reading.
  */
 final class Writer {
-  /** Shares of the write budget left to the users of all nodes. */
-  private static final double SHARE = 0.75;
-
   /** Slots of this urgency or more can wait a while. */
   static final int CAN_WAIT = 20;
 
@@ -91,9 +90,11 @@
   private final Calls calls;
   private final Host host;
   private final Supplier<Settings.StateLimits> limits;
+  private final DoubleUnaryOperator share;
   private final Map<String, Slot> slots = new HashMap<>();
   private final TreeMap<Integer, LinkedHashMap<String, Slot>> dirty = new TreeMap<>();
   private final Map<Turn, ArrayDeque<Special>> specials = new EnumMap<>(Turn.class);
+  private final Meter spent = new Meter(3_000);
   private double budget;
   private long filledAt;
   private int inFlight;
@@ -101,8 +102,14 @@
   private long pauseUntil;
   private boolean slotsTurn;
 
-  /** The limits may become smaller at any time. */
-  Writer(Calls calls, Host host, Supplier<Settings.StateLimits> limits) {
+  /**
+   * Has nothing to write yet.
+   *
+   * @param limits may become smaller at any time
+   * @param share of so many changes a second for all, those that this leader may make now
+   */
+  Writer(Calls calls, Host host, Supplier<Settings.StateLimits> limits, DoubleUnaryOperator share) {
+    this.share = share;
     this.calls = calls;
     this.host = host;
     this.limits = limits;
@@ -113,9 +120,9 @@
     }
   }
 
-  /** The changes a second that are the leader's. */
+  /** The changes a second that are the leader's: the rest is for the users of all nodes. */
   private double rate() {
-    return limits.get().writeRps() * SHARE;
+    return share.applyAsDouble(limits.get().writeRps());
   }
 
   Slot slot(String key, long stamp, Supplier<JsonNode> content, Supplier<Condition> guard) {
@@ -168,6 +175,11 @@
     return specials.get(Turn.NEXT).size() > 1;
   }
 
+  /** Changes a second that this term has made lately. */
+  double spent() {
+    return spent.perSecond(calls.now());
+  }
+
   int waiting() {
     int n = 0;
     for (var q : dirty.values()) {
@@ -219,6 +231,7 @@
     }
     specials.get(special.turn).poll();
     budget -= cost;
+    spent.add(cost, calls.now());
     inFlight++;
     List<Condition> when = new ArrayList<>(special.when);
     when.add(0, new Condition(Keys.LEADER, host.token()));
@@ -282,6 +295,7 @@
     }
     when.addAll(guards.values());
     budget -= taken.size();
+    spent.add(taken.size(), calls.now());
     inFlight++;
     List<List<Runnable>> actions = new ArrayList<>();
     List<Integer> urgencies = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/org/snowturn/core/picture/LiveJobs.java
@@ -0,0 +1,96 @@
+package org.snowturn.core.picture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.snowturn.wire.StateMessage;
+
+/**
+ * Which jobs have a live record, and which of those are cancelled, as of a revision of the state
+ * service. Built from a range that was read, page by page, and from the changes since: whatever the
+ * order in which they come, the version of each record decides what is newer.
+ */
+public final class LiveJobs {
+  /** What there is to know of a live record. */
+  public record Seen(long stamp, boolean cancelled) {}
+
+  private final Map<String, Seen> live = new HashMap<>();
+  private final String prefix;
+  private final Predicate<JsonNode> cancelled;
+  private long revision = -1;
+
+  /**
+   * Knows nothing yet.
+   *
+   * @param prefix of the records' keys
+   * @param cancelled whether a record's value says that the job is cancelled
+   */
+  public LiveJobs(String prefix, Predicate<JsonNode> cancelled) {
+    this.prefix = prefix;
+    this.cancelled = cancelled;
+  }
+
+  /** Whether there is a picture at all. */
+  public boolean known() {
+    return revision >= 0;
+  }
+
+  /** The picture is complete up to here. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Forgets everything. */
+  public void drop() {
+    live.clear();
+    revision = -1;
+  }
+
+  /** Starts anew from a whole range, none of whose pages is older than {@code epoch}. */
+  public void load(List<StateMessage.Entry> entries, long epoch) {
+    drop();
+    entries.forEach(this::take);
+    revision = epoch;
+  }
+
+  /**
+   * All changes since {@link #revision}, up to {@code epoch}. An answer that is older than the
+   * picture changes nothing.
+   */
+  public void follow(List<StateMessage.Entry> changes, long epoch) {
+    if (epoch < revision) {
+      return;
+    }
+    changes.forEach(this::take);
+    revision = epoch;
+  }
+
+  private void take(StateMessage.Entry e) {
+    if (!e.key().startsWith(prefix)) {
+      return;
+    }
+    String id = e.key().substring(prefix.length());
+    Seen known = live.get(id);
+    // A page may be younger than the changes that are told after it.
+    if (known != null && known.stamp >= e.stamp()) {
+      return;
+    }
+    if (e.value() == null) {
+      live.remove(id);
+    } else {
+      live.put(id, new Seen(e.stamp(), cancelled.test(e.value())));
+    }
+  }
+
+  /** A job's live record; null if there is none. */
+  public Seen get(String id) {
+    return live.get(id);
+  }
+
+  /** How many jobs are live. */
+  public int size() {
+    return live.size();
+  }
+}
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -100,8 +100,7 @@
         new StateClient(
             new HttpCaller(settings.state(), io, buffers, STATE_CONNECTIONS),
             new HttpCaller(settings.state(), io, buffers, WATCHES),
-            new HttpCaller(settings.state(), io, buffers, AUTHORITY_CONNECTIONS),
-            settings.stateLimits());
+            new HttpCaller(settings.state(), io, buffers, AUTHORITY_CONNECTIONS));
     cloud = new CloudClient(new HttpCaller(settings.cloud(), io, buffers, CLOUD_CONNECTIONS));
     workers = new WorkerClient(bulk, buffers, this::connectionsToWorkers);
     peers = new PeerLinks(io, this::accept);
--- a/src/main/java/org/snowturn/peer/PeerCodec.java
+++ b/src/main/java/org/snowturn/peer/PeerCodec.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
+import org.snowturn.core.admission.Needs;
 import org.snowturn.core.reach.Reach;
 import org.snowturn.wire.Json;
 
@@ -33,6 +34,7 @@
   private static final int SAMPLE = 7;
   private static final int RELAY = 8;
   private static final int RELAYED = 9;
+  private static final int NEED = 10;
 
   private PeerCodec() {}
 
@@ -90,6 +92,11 @@
         out.writeByte(x.outcome().ordinal());
         out.writeInt(x.status());
         json(out, x.body());
+      } else if (r instanceof PeerRecord.Need x) {
+        head(out, NEED, r);
+        out.writeDouble(x.need().requests());
+        out.writeDouble(x.need().submitted());
+        out.writeDouble(x.need().led());
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -138,6 +145,9 @@
                 : Outcome.UNKNOWN;
         yield new PeerRecord.Relayed(from, to, seq, known, status, answer);
       }
+      case NEED ->
+          new PeerRecord.Need(
+              from, new Needs.Need(in.readDouble(), in.readDouble(), in.readDouble()));
       default -> null;
     };
   }
--- a/src/test/java/org/snowturn/core/PartsCleanupTest.java
+++ b/src/test/java/org/snowturn/core/PartsCleanupTest.java
@@ -62,7 +62,7 @@
     Settings.StateLimits limits = settings.stateLimits();
     Calls calls = new Calls(1);
     FormatGate gate = new FormatGate(settings, calls);
-    Writer writer = new Writer(calls, HOST, () -> limits);
+    Writer writer = new Writer(calls, HOST, () -> limits, r -> r);
     MachineBook machines = new MachineBook(List.of("z"), m -> null);
     Ledger ledger = new Ledger(calls, gate, writer, machines, new Quota(List.of()), 7);
 
--- a/src/test/java/org/snowturn/core/WaitingOrderTest.java
+++ b/src/test/java/org/snowturn/core/WaitingOrderTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -69,8 +68,7 @@
     Job large = job("c", 50, 100, 400);
     Job small = job("c", 5, 100, 400);
     Job idle = job("other", 1, 1, 0);
-    List<Job> jobs = new ArrayList<>(List.of(hopeless, idle, large, small));
-    jobs.sort(order.at(490_000));
+    List<Job> jobs = order.sorted(List.of(hopeless, idle, large, small), 490_000);
     assertEquals(List.of(small, large, idle, hopeless), jobs);
   }
 }
--- /dev/null
+++ b/src/test/java/org/snowturn/core/admission/StateBudgetTest.java
@@ -0,0 +1,116 @@
+package org.snowturn.core.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Whose calls pass when all want more than there is. */
+class StateBudgetTest {
+  private final Map<Purpose, Integer> passed = new EnumMap<>(Purpose.class);
+
+  /** Every purpose asks so often for 20 s; counts what passes. */
+  private int flood(StateBudget b, int everyMs) {
+    int all = 0;
+    for (long now = 1; now <= 20_000; now++) {
+      for (Purpose p : Purpose.values()) {
+        // A lease is renewed now and then, whatever the flood.
+        boolean asks = p == Purpose.AUTHORITY ? now % 250 == 0 : now % everyMs == 0;
+        if (asks && b.take(p, now)) {
+          passed.merge(p, 1, Integer::sum);
+          all++;
+        }
+      }
+    }
+    return all;
+  }
+
+  @Test
+  void inAFloodAuthorityAlwaysPassesAndEachFloorIsKept() {
+    int all = flood(new StateBudget(50, 0), 2);
+    assertEquals(80, passed.get(Purpose.AUTHORITY));
+    for (Purpose p : Purpose.values()) {
+      double floor = 50 * 20 * p.floor;
+      assertTrue(passed.get(p) >= 0.9 * floor, p + " " + passed.get(p) + " of " + floor);
+    }
+    assertTrue(all <= 50 * 21 + 20, "no more than the part: " + all);
+  }
+
+  @Test
+  void whatOthersLeaveIsAnybodys() {
+    StateBudget b = new StateBudget(50, 0);
+    int reads = 0;
+    for (long now = 1; now <= 20_000; now++) {
+      reads += b.take(Purpose.READS, now) ? 1 : 0;
+    }
+    assertTrue(reads > 45 * 20, "" + reads);
+  }
+
+  @Test
+  void refusalsThereShrinkThePartAndItGrowsBack() {
+    StateBudget b = new StateBudget(100, 0);
+    for (long now = 0; now < 3_000; now += 10) {
+      b.refusedThere(now);
+    }
+    assertEquals(40, b.perSecond(), 1);
+    b.take(Purpose.WORK, 8_000);
+    assertEquals(100, b.perSecond(), 1e-6);
+    assertEquals(300, b.refusedThere());
+  }
+
+  @Test
+  void submissionsAreRefusedOnlyOnceTheServiceRefuses() {
+    SubmitGate g = new SubmitGate(new SplittableRandom(1), 2, 0);
+    for (int i = 0; i < 200; i++) {
+      assertTrue(g.admits("a", 1, 0));
+    }
+    g.refusedThere(0);
+    int taken = 0;
+    for (long now = 0; now < 2_900; now += 10) {
+      taken += g.admits("a", 1, now) ? 1 : 0;
+    }
+    assertTrue(taken >= 5 && taken <= 7, "" + taken);
+    assertTrue(g.admits("a", 1, 3_100));
+  }
+
+  @Test
+  void aSmallClassIsNotCrowdedOutByALargeOne() {
+    SubmitGate g = new SubmitGate(new SplittableRandom(1), 10, 0);
+    int small = 0;
+    int tries = 0;
+    for (long now = 0; now < 60_000; now += 5) {
+      g.refusedThere(now);
+      g.admits("large", 1, now);
+      if (now % 500 == 0) {
+        tries++;
+        small += g.admits("small", 1, now) ? 1 : 0;
+      }
+    }
+    assertTrue(small >= 0.95 * tries, small + " of " + tries);
+  }
+
+  @Test
+  void refusedUsersComeBackSpreadOut() {
+    SubmitGate g = new SubmitGate(new SplittableRandom(1), 1, 0);
+    assertEquals(1, g.retryAfterS(0));
+    g.refusedThere(0);
+    int[] at = new int[40];
+    for (int i = 0; i < 500; i++) {
+      if (!g.admits("a", 1, 10)) {
+        at[g.retryAfterS(10)]++;
+      }
+    }
+    int most = 0;
+    for (int n : at) {
+      most = Math.max(most, n);
+    }
+    assertTrue(most < 150, "most return in one second: " + most);
+    for (int s = 15; s < at.length; s++) {
+      assertFalse(at[s] > 0, "users give up after 60 s: " + s);
+    }
+  }
+}
--- a/src/test/java/org/snowturn/peer/PeerCodecTest.java
+++ b/src/test/java/org/snowturn/peer/PeerCodecTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
+import org.snowturn.core.admission.Needs;
 import org.snowturn.core.reach.Reach;
 import org.snowturn.wire.Json;
 
@@ -27,7 +28,8 @@
           new PeerRecord.Relay("n0", "n1", 6, "POST", "/txn", Json.object().put("when", "é"), 1800),
           new PeerRecord.Relayed("n1", "n0", 6, Outcome.UNKNOWN, 0, null),
           new PeerRecord.Relayed(
-              "n1", "n0", 7, Outcome.ANSWERED, 200, Json.object().put("epoch", 9)));
+              "n1", "n0", 7, Outcome.ANSWERED, 200, Json.object().put("epoch", 9)),
+          new PeerRecord.Need("n2", new Needs.Need(31.5, 2.25, 0)));
 
   private static byte[] body(PeerRecord r) {
     byte[] all = PeerCodec.encode(r);
--- a/src/test/java/org/snowturn/sim/StandInState.java
+++ b/src/test/java/org/snowturn/sim/StandInState.java
@@ -104,8 +104,7 @@
   /** Refuses what is beyond the rates, and for good what is beyond the sizes; 0: nothing is. */
   private int beyondLimits(Effect.Call c) {
     refill();
-    boolean leases = c.path().startsWith("/leases");
-    if (requestsLeft < 1 && !leases) {
+    if (requestsLeft < 1) {
       return 429;
     }
     requestsLeft -= 1;
