--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/Job.java
@@ -120,6 +120,12 @@
   /** When a task was last placed. */
   long placedWall;
 
+  /** The dense index of its team's class, or -1 until it is known. */
+  int group = -1;
+
+  /** Whether it was let go before others since its group had too little: it keeps what it got. */
+  boolean byFloor;
+
   /** The zone chosen for the whole of a gang, or -1. */
   int gangZone = -1;
 
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/Leader.java
@@ -207,6 +207,7 @@
     g.put("snowturn.outboxes.looks", (double) outboxLooks);
     g.put("snowturn.starts.repeated", (double) reports.repeatedStarts());
     g.putAll(takeover.gauges());
+    g.putAll(placer.gauges());
     return g;
   }
 
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/Placer.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.admission.Floors;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Priority;
 
@@ -51,6 +52,7 @@
   private final WaitingOrder order;
   private final SpotLosses spotLosses;
   private final BooleanSupplier mayStop;
+  private final Floors floors = new Floors();
   private final Map<String, Double> startWithin = new HashMap<>();
 
   /** What found no room in the present plan. */
@@ -114,17 +116,25 @@
     }
     List<Job> waiting = new ArrayList<>();
     largestReplica = 0;
+    floors.begin(now);
     for (Job j : ledger.jobs()) {
       largestReplica = j.spec.service() ? Math.max(largestReplica, j.spec.cpus()) : largestReplica;
-      if (j.wantsRoom() && now >= j.backOffUntil) {
-        waiting.add(j);
+      if (j.wantsRoom()) {
+        if (j.group < 0) {
+          j.group = floors.group(j.spec.jobClass(), j.spec.team());
+          floors.arrived(j.group, j.state.length);
+        }
+        floors.waits(j.group, (calls.wall() - j.releasedWall) / 1000.0, j.pending);
+        if (now >= j.backOffUntil) {
+          waiting.add(j);
+        }
       }
     }
     boolean room = true;
     tooLarge.clear();
     noRoom.clear();
     stoppable.clear();
-    for (Job j : order.sorted(waiting, calls.wall())) {
+    for (Job j : starvingFirst(order.sorted(waiting, calls.wall()))) {
       if (!placeJob(j, usable)) {
         room = false;
         makeRoom(j, usable);
@@ -133,6 +143,26 @@
     return room;
   }
 
+  /**
+   * Among the production jobs, and then among the others, those of groups that had less than their
+   * floor go first. What they get so is theirs until it ends: work of higher priority would stop it
+   * at once, and all that had been done for it were wasted.
+   */
+  private List<Job> starvingFirst(List<Job> ordered) {
+    List<Job> out = new ArrayList<>(ordered.size());
+    for (boolean production : new boolean[] {true, false}) {
+      for (boolean first : new boolean[] {true, false}) {
+        for (Job j : ordered) {
+          if ((j.priority == Priority.PRODUCTION) == production && floors.first(j.group) == first) {
+            j.byFloor |= first;
+            out.add(j);
+          }
+        }
+      }
+    }
+    return out;
+  }
+
   /**
    * Whether a job that asks for no more, under no more constraints, found no room in this plan:
    * then this one finds none either, and the machines need not be looked at again.
@@ -204,6 +234,7 @@
         return true; // the task stopped for it ends within milliseconds, a fetch takes seconds
       }
       ledger.bind(j, t, best, gang ? together : ledger.newAttempt());
+      floors.given(j.group, j.spec.cpus(), calls.now());
       offer(candidates, j, best);
     }
     return true;
@@ -248,6 +279,11 @@
     return found;
   }
 
+  /** For operators: how the classes of each team are served. */
+  Map<String, Double> gauges() {
+    return floors.gauges();
+  }
+
   /** How many times a machine was looked at for a job so far. */
   long looks() {
     return looks;
@@ -522,7 +558,8 @@
     List<Long> candidates = new ArrayList<>();
     for (long ref : Reports.copy(m.bound)) {
       Job v = ledger.job(ref);
-      if (v.priority.compareTo(j.priority) > 0) {
+      boolean theirs = v.byFloor && j.priority != Priority.PRODUCTION;
+      if (v.priority.compareTo(j.priority) > 0 && !theirs) {
         candidates.add(ref);
       }
     }
--- a/src/main/java/org/snowturn/core/Writer.java
+++ b/src/main/java/org/snowturn/core/Writer.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -34,6 +35,15 @@
   /** The share of the budget that is kept for slots that cannot wait. */
   private static final double KEPT = 0.4;
 
+  /**
+   * So long a slot stands behind more urgent ones; then one in so many goes first. In a flood of
+   * one priority there is always a slot of that one, and those below it would never be written.
+   */
+  private static final long PATIENCE_MS = 1_500;
+
+  private static final long PATIENCE_CAN_WAIT_MS = 15_000;
+  private static final int ONE_IN = 5;
+
   private static final int TIMEOUT_MS = 1500;
   private static final int IN_FLIGHT = 3;
   private static final int MAX_BYTES = 40_000;
@@ -47,6 +57,7 @@
     boolean dirty;
     boolean inFlight;
     int urgency = Integer.MAX_VALUE;
+    long since;
     List<Runnable> onDurable = new ArrayList<>();
 
     private Slot(String key, long stamp, Supplier<JsonNode> content, Supplier<Condition> guard) {
@@ -102,6 +113,9 @@
   private long pauseUntil;
   private boolean slotsTurn;
 
+  /** How many slots went since one that had waited long did. */
+  private int passed;
+
   /**
    * Has nothing to write yet.
    *
@@ -140,6 +154,7 @@
       s.onDurable.add(onDurable);
     }
     if (!s.dirty || urgency < s.urgency) {
+      s.since = s.dirty ? s.since : calls.now();
       unqueue(s);
       s.dirty = true;
       s.urgency = urgency;
@@ -170,9 +185,13 @@
     }
   }
 
-  /** Whether whole transactions that cannot wait are queueing up. */
+  /** Whether what cannot wait is queueing up. */
   boolean pressed() {
-    return specials.get(Turn.NEXT).size() > 1;
+    return specials.get(Turn.NEXT).size() > 1 || (budget < rate() * KEPT && urgentWaits());
+  }
+
+  private boolean urgentWaits() {
+    return !dirty.isEmpty() && dirty.firstKey() < CAN_WAIT;
   }
 
   /** Changes a second that this term has made lately. */
@@ -207,8 +226,7 @@
     if (special != null) {
       // In turn with placements: after an outage hundreds of jobs are over at once, and their
       // records alone would keep every start waiting for seconds.
-      boolean urgent = !dirty.isEmpty() && dirty.firstKey() < CAN_WAIT;
-      if (urgent && slotsTurn && sendSlots()) {
+      if (urgentWaits() && slotsTurn && sendSlots()) {
         slotsTurn = false;
         return true;
       }
@@ -265,14 +283,20 @@
     int most = (int) Math.min(Math.min(limits.get().txnOps(), mostTogether), Math.floor(budget));
     int canWait = mostThatCanWait();
     int bytes = 0;
+    Slot overdue = most < 1 ? null : overdue();
+    List<Slot> first = overdue == null ? List.of() : List.of(overdue);
+    List<Collection<Slot>> queues = new ArrayList<>();
+    queues.add(first);
+    dirty.values().forEach(q -> queues.add(q.values()));
     outer:
-    for (var queue : dirty.entrySet()) {
-      for (Slot s : queue.getValue().values()) {
-        boolean enough = taken.size() >= (queue.getKey() < CAN_WAIT ? most : canWait);
+    for (Collection<Slot> queue : queues) {
+      for (Slot s : queue) {
+        boolean urgent = s.urgency < CAN_WAIT || s == overdue;
+        boolean enough = taken.size() >= (urgent ? most : canWait);
         if (enough || taken.size() >= most || bytes > MAX_BYTES) {
           break outer;
         }
-        if (s.inFlight) {
+        if (s.inFlight || (s == overdue && queue != first)) {
           continue;
         }
         JsonNode value = s.content.get();
@@ -293,6 +317,7 @@
     if (taken.isEmpty()) {
       return false;
     }
+    passed = taken.get(0) == overdue ? 0 : passed + taken.size();
     when.addAll(guards.values());
     budget -= taken.size();
     spent.add(taken.size(), calls.now());
@@ -316,6 +341,33 @@
     return true;
   }
 
+  /** The slot that has waited longest for its urgency behind others; null if none has its turn. */
+  private Slot overdue() {
+    if (passed < ONE_IN - 1) {
+      return null;
+    }
+    Slot found = null;
+    double longest = 1;
+    boolean front = true;
+    for (var queue : dirty.entrySet()) {
+      Slot head = null;
+      for (Slot s : queue.getValue().values()) {
+        if (!s.inFlight) {
+          head = s;
+          break;
+        }
+      }
+      boolean canWait = queue.getKey() >= CAN_WAIT;
+      double patience = canWait ? PATIENCE_CAN_WAIT_MS : PATIENCE_MS;
+      if (!front && head != null && (calls.now() - head.since) / patience > longest) {
+        longest = (calls.now() - head.since) / patience;
+        found = head;
+      }
+      front = false;
+    }
+    return found;
+  }
+
   /**
    * How many slots that can wait the next transaction may hold in all: they leave a share of the
    * budget to placements, which else would find it spent on results, and go several at a time.
--- /dev/null
+++ b/src/test/java/org/snowturn/days/DayDraw.java
@@ -0,0 +1,115 @@
+package org.snowturn.days;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Draws a day from all kinds of trouble that sites name, weighted to what hurts: troubles that fall
+ * within seconds of each other, all nodes at once, one node again and again, in a flood.
+ */
+final class DayDraw {
+  /** A trouble comes this soon after the one before it, as often as {@link #TOGETHER} says. */
+  private static final double SOON_S = 6;
+
+  private static final double TOGETHER = 0.55;
+  private static final double AGAIN = 0.4;
+
+  /** After the last trouble there is time to see what came of it. */
+  private static final double CALM_S = 90;
+
+  private final SiteFile site;
+  private final Map<String, List<ObjectNode>> troubles;
+  private final double size;
+  private final double flood;
+
+  /**
+   * Days for a site.
+   *
+   * @param troubles what may happen, by kind
+   * @param size how many times as many machines there are as where the troubles were named
+   * @param flood the most that a burst multiplies arrivals by
+   */
+  DayDraw(SiteFile site, Map<String, List<ObjectNode>> troubles, double size, double flood) {
+    this.site = site;
+    this.troubles = troubles;
+    this.size = size;
+    this.flood = flood;
+  }
+
+  /** The day of a seed: always the same. */
+  ObjectNode day(long seed, double duration) throws SiteFile.BadInput {
+    SplittableRandom r = new SplittableRandom(seed);
+    List<ObjectNode> faults = new ArrayList<>();
+    List<String> kinds = List.copyOf(troubles.keySet());
+    int n = r.nextInt(5, 11);
+    double from = site.warmup();
+    double until = Math.max(from + 20, duration - CALM_S);
+    double at = r.nextDouble(from, until);
+    for (int i = 0; i < n; i++) {
+      at = r.nextDouble() < TOGETHER ? at + r.nextDouble(SOON_S) : r.nextDouble(from, until);
+      at = Math.min(at, until);
+      List<ObjectNode> some = troubles.get(kinds.get(r.nextInt(kinds.size())));
+      faults.add(vary(some.get(r.nextInt(some.size())), at, r));
+    }
+    if (troubles.containsKey("job_burst")) {
+      List<ObjectNode> some = troubles.get("job_burst");
+      ObjectNode burst = vary(some.get(r.nextInt(some.size())), r.nextDouble(from, until - 30), r);
+      burst.put("factor", round(r.nextDouble(3, Math.max(3.1, flood))));
+      faults.add(burst);
+    }
+    if (troubles.containsKey("node_crash")) {
+      double crash = r.nextDouble(from, until);
+      crash(faults, crash, site.nodes());
+      for (double t = crash; r.nextDouble() < AGAIN && t < until; ) {
+        t += r.nextDouble(0.2, 3);
+        crash(faults, t, 1);
+      }
+    }
+    faults.sort(Comparator.comparingDouble(f -> f.path("at_s").asDouble()));
+    ObjectNode day = JsonNodeFactory.instance.objectNode();
+    day.put("name", "drawn-" + seed).put("slot", "scale").put("light", false);
+    day.put("seed", seed).put("duration_s", duration);
+    ArrayNode list = day.putArray("faults");
+    for (ObjectNode f : faults) {
+      site.check(f);
+      list.add(f);
+    }
+    ObjectNode file = JsonNodeFactory.instance.objectNode();
+    file.putArray("day").add(day);
+    return file;
+  }
+
+  private static void crash(List<ObjectNode> faults, double at, int count) {
+    ObjectNode f = JsonNodeFactory.instance.objectNode();
+    f.put("at_s", round(at)).put("kind", "node_crash").put("count", count).put("busiest", true);
+    faults.add(f);
+  }
+
+  private ObjectNode vary(ObjectNode named, double at, SplittableRandom r) {
+    ObjectNode f = named.deepCopy();
+    f.put("at_s", round(at));
+    for (String field : List.of("for_s", "factor", "every_s")) {
+      if (f.path(field).isNumber()) {
+        f.put(field, round(f.path(field).asDouble() * r.nextDouble(0.5, 1.5)));
+      }
+    }
+    JsonNode count = f.path("count");
+    boolean machines = f.path("kind").asText().startsWith("machine_");
+    if (machines && count.isNumber()) {
+      f.put("count", Math.max(1, Math.round(count.asDouble() * size * r.nextDouble(0.5, 1.5))));
+    }
+    f.remove("upgrade"); // a copy has no version before it
+    return f;
+  }
+
+  private static double round(double x) {
+    return Math.round(x * 10) / 10.0;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/days/DayReport.java
@@ -0,0 +1,122 @@
+package org.snowturn.days;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Map;
+
+/** What a played day says of the things that fail one, as far as its report tells. */
+final class DayReport {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final JsonNode root;
+  private final String name;
+
+  private DayReport(JsonNode root, String name) {
+    this.root = root;
+    this.name = name;
+  }
+
+  static DayReport read(Path file) throws SiteFile.BadInput {
+    try {
+      JsonNode n = JSON.readTree(file.toFile());
+      if (!n.path("classes").isObject()) {
+        throw new SiteFile.BadInput(file + ": no report of a day");
+      }
+      return new DayReport(n, String.valueOf(file.getFileName()));
+    } catch (IOException e) {
+      throw new SiteFile.BadInput(file + ": cannot be read");
+    }
+  }
+
+  long broken() {
+    return root.path("rules_broken").path("total").asLong();
+  }
+
+  /** Processes that ended by themselves. */
+  int ended() {
+    int n = 0;
+    for (JsonNode node : root.path("node_stats")) {
+      n += node.path("panics").asInt();
+      for (JsonNode r : node.path("restarts")) {
+        n += r.path("why").asText().matches("fault|upgrade|roll") ? 0 : 1;
+      }
+    }
+    return n;
+  }
+
+  /**
+   * The least share of any class, and of which: of arrays those done and told of what was submitted
+   * and not cancelled, of services those started.
+   */
+  Map.Entry<String, Double> leastServed() {
+    String least = "";
+    double share = 1;
+    for (var e : root.path("classes").properties()) {
+      JsonNode c = e.getValue();
+      boolean arrays = !c.has("up"); // of services, the time that they are up is told
+      double wanted = c.path("jobs").asDouble() - (arrays ? c.path("cancelled").asDouble() : 0);
+      double got = arrays ? c.path("told_done").asDouble() : c.path("started").asDouble();
+      if (wanted > 0 && got / wanted < share) {
+        share = got / wanted;
+        least = e.getKey();
+      }
+    }
+    for (var e : root.path("teams").properties()) {
+      double jobs = e.getValue().path("jobs").asDouble();
+      double started = e.getValue().path("started").asDouble();
+      if (jobs > 0 && started / jobs < share) {
+        share = started / jobs;
+        least = "team " + e.getKey();
+      }
+    }
+    return Map.entry(least, share);
+  }
+
+  double answered() {
+    double asked = root.path("users").path("asked").asDouble();
+    return asked == 0 ? 1 : 1 - root.path("users").path("asked_in_vain").asDouble() / asked;
+  }
+
+  double processorS() {
+    double s = 0;
+    for (JsonNode part : root.path("spent")) {
+      s += part.isArray() ? part.path(0).asDouble() : 0;
+    }
+    return s - root.path("spent").path("turns").path(0).asDouble();
+  }
+
+  /** Whether such a day fails: not by its aims, but for what the operators will not have. */
+  boolean fails() {
+    return broken() > 0 || ended() > 0 || leastServed().getValue() < 0.5 || answered() < 0.5;
+  }
+
+  int mostSockets() {
+    int most = 0;
+    for (JsonNode n : root.path("node_stats")) {
+      most = Math.max(most, n.path("connections_peak").asInt());
+    }
+    return most;
+  }
+
+  String line() {
+    Map.Entry<String, Double> least = leastServed();
+    return String.format(
+        Locale.ROOT,
+        "%-28s %-6s rules %d, ended %d, least served %.3f (%s), answered %.3f, sockets %d, submit"
+            + " p95 %.0f ms, 503s %d, processor %.0f s",
+        name,
+        fails() ? "FAILS" : "ok",
+        broken(),
+        ended(),
+        least.getValue(),
+        least.getKey(),
+        answered(),
+        mostSockets(),
+        root.path("users").path("submit_ms").path("p95").asDouble(),
+        root.path("users").path("errors").path("503").asLong(),
+        processorS());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/days/DaysTest.java
@@ -0,0 +1,87 @@
+package org.snowturn.days;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Copies of sites, drawn days and reports, on files of our own. */
+class DaysTest {
+  private static final Path HERE = Path.of("src/test/resources/days");
+  private static final String SITE = HERE.resolve("site.toml").toString();
+
+  @TempDir private Path dir;
+
+  private static JsonNode toml(Path p) throws IOException {
+    return new TomlMapper().readTree(p.toFile());
+  }
+
+  @Test
+  void aCopyHasAnotherSizeAndTheSameControllers() throws IOException {
+    Path to = dir.resolve("copy.toml");
+    assertEquals(
+        0,
+        Days.run(
+            "copy", SITE, to.toString(), "--size", "1.5", "--restart", "0.2", "--team", "two=9"));
+    JsonNode n = toml(to);
+    assertEquals(30, n.at("/capacity/0/count").asInt());
+    assertEquals(47, n.at("/capacity/0/spot").asInt());
+    assertEquals(8, n.at("/jobs/0/initial").asInt());
+    assertEquals(0.6, n.at("/jobs/0/arrivals/rate").asDouble(), 1e-9);
+    assertEquals(3, n.at("/nodes/count").asInt());
+    assertEquals(0.2, n.at("/nodes/restart_delay_s").asDouble());
+    assertEquals("two", n.at("/teams/1/name").asText());
+    assertTrue(Files.readString(to).contains("cpu_share = 0.5"), "no exponents");
+  }
+
+  @Test
+  void drawnDaysRepeatAndNameOnlyWhatTheSiteHas() throws IOException {
+    String a = dir.resolve("a").toString();
+    String b = dir.resolve("b").toString();
+    assertEquals(0, Days.run("draw", SITE, a, "--count", "20", "--size", "3", "--flood", "8"));
+    assertEquals(0, Days.run("draw", SITE, b, "--from", "7", "--count", "1", "--size", "3"));
+    assertNotEquals(
+        Files.readString(Path.of(a, "drawn-6.toml")), Files.readString(Path.of(a, "drawn-7.toml")));
+    for (int seed = 1; seed <= 20; seed++) {
+      JsonNode day = toml(Path.of(a, "drawn-" + seed + ".toml")).at("/day/0");
+      boolean allAtOnce = false;
+      for (JsonNode f : day.path("faults")) {
+        double at = f.path("at_s").asDouble();
+        assertTrue(at >= 40 && at <= 300, "within the day: " + at);
+        allAtOnce |= f.path("kind").asText().equals("node_crash") && f.path("count").asInt() == 3;
+      }
+      assertTrue(allAtOnce, "seed " + seed);
+    }
+  }
+
+  @Test
+  void whatIsWrongEndsWithStatusTwo() {
+    String to = dir.resolve("x.toml").toString();
+    assertEquals(2, Days.run("copy", SITE, to, "--size", "0"));
+    assertEquals(2, Days.run("copy", SITE, to, "--restart", "-1"));
+    assertEquals(2, Days.run("copy", SITE, to, "--mix", "other=2"));
+    assertEquals(2, Days.run("copy", HERE.resolve("none.toml").toString(), to));
+    assertEquals(2, Days.run("copy", HERE.resolve("report.json").toString(), to));
+    assertEquals(2, Days.run("draw", SITE, to, "--count", "0"));
+    assertEquals(2, Days.run("judge", SITE));
+    assertEquals(2, Days.run("copy", SITE));
+  }
+
+  @Test
+  void aDayOnWhichAClassIsServedLessThanHalfFails() throws Exception {
+    DayReport r = DayReport.read(HERE.resolve("report.json"));
+    assertEquals("nightly", r.leastServed().getKey());
+    assertEquals(0.4, r.leastServed().getValue(), 1e-9);
+    assertTrue(r.fails());
+    assertEquals(0, r.ended());
+    assertEquals(12, r.processorS(), 1e-9);
+    assertEquals(1, Days.run("judge", HERE.resolve("report.json").toString()));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/days/SiteFile.java
@@ -0,0 +1,217 @@
+package org.snowturn.days;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** A deployment's file, as far as a copy of another size and days of one's own need it. */
+final class SiteFile {
+  private static final TomlMapper TOML = new TomlMapper();
+
+  /** What is counted in machines, jobs or starts, and grows with the size. */
+  private static final Set<String> COUNTS = Set.of("count", "spot", "initial");
+
+  private final ObjectNode root;
+
+  private SiteFile(ObjectNode root) {
+    this.root = root;
+  }
+
+  /**
+   * Reads a file.
+   *
+   * @throws BadInput if it is none, in one line that says why
+   */
+  static SiteFile read(Path file) throws BadInput {
+    try {
+      JsonNode n = TOML.readTree(file.toFile());
+      if (!(n instanceof ObjectNode o)
+          || !n.path("jobs").isArray()
+          || !n.path("nodes").isObject()) {
+        throw new BadInput(file + ": no [nodes] or no [[jobs]] in it");
+      }
+      asDoubles(o);
+      return new SiteFile(o);
+    } catch (IOException e) {
+      String first = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+      throw new BadInput(file + ": " + first);
+    }
+  }
+
+  /** Fractions as they are read would be written in a form that not every reader takes. */
+  private static void asDoubles(JsonNode n) {
+    if (n instanceof ObjectNode o) {
+      for (String field : List.copyOf(fieldsOf(o))) {
+        if (o.get(field).isFloatingPointNumber()) {
+          o.put(field, o.get(field).doubleValue());
+        } else {
+          asDoubles(o.get(field));
+        }
+      }
+    } else if (n instanceof ArrayNode a) {
+      for (int i = 0; i < a.size(); i++) {
+        if (a.get(i).isFloatingPointNumber()) {
+          a.set(i, a.get(i).doubleValue());
+        } else {
+          asDoubles(a.get(i));
+        }
+      }
+    }
+  }
+
+  private static List<String> fieldsOf(ObjectNode o) {
+    List<String> out = new ArrayList<>();
+    o.fieldNames().forEachRemaining(out::add);
+    return out;
+  }
+
+  /** Machines, jobs at the start and arrivals so many times; what the controllers have stays. */
+  void grow(double size) throws BadInput {
+    if (!(size > 0) || size > 100) {
+      throw new BadInput("--size: " + size + " is no size");
+    }
+    for (String list : List.of("capacity", "machines", "jobs")) {
+      for (JsonNode n : root.path(list)) {
+        for (String field : COUNTS) {
+          if (n.path(field).isNumber()) {
+            ((ObjectNode) n).put(field, Math.round(n.path(field).asDouble() * size));
+          }
+        }
+      }
+    }
+    for (String list : List.of("jobs", "pipelines")) {
+      for (JsonNode n : root.path(list)) {
+        if (n.path("arrivals").path("rate").isNumber()) {
+          ObjectNode arrivals = (ObjectNode) n.path("arrivals");
+          arrivals.put("rate", arrivals.path("rate").asDouble() * size);
+        }
+      }
+    }
+  }
+
+  /** A process that ends is back after this time. */
+  void restartAfter(double seconds) throws BadInput {
+    if (!(seconds >= 0)) {
+      throw new BadInput("--restart: " + seconds + " s is no time");
+    }
+    ((ObjectNode) root.path("nodes")).put("restart_delay_s", seconds);
+  }
+
+  /** One class so many times as often, beside the others. */
+  void mix(String jobClass, double times) throws BadInput {
+    boolean found = false;
+    for (JsonNode n : root.path("jobs")) {
+      if (n.path("name").asText().equals(jobClass) && n.path("arrivals").path("rate").isNumber()) {
+        ObjectNode arrivals = (ObjectNode) n.path("arrivals");
+        arrivals.put("rate", arrivals.path("rate").asDouble() * times);
+        found = true;
+      }
+    }
+    if (!found) {
+      throw new BadInput("--mix: no class " + jobClass + " with arrivals");
+    }
+  }
+
+  /** One team's weight among the others; a team that is not there yet is added. */
+  void weigh(String team, double weight) throws BadInput {
+    if (!(weight > 0)) {
+      throw new BadInput("--team: " + weight + " is no weight");
+    }
+    for (JsonNode n : root.path("teams")) {
+      if (n.path("name").asText().equals(team)) {
+        ((ObjectNode) n).put("weight", weight);
+        return;
+      }
+    }
+    ArrayNode teams = root.withArray("/teams");
+    teams.addObject().put("name", team).put("weight", weight);
+  }
+
+  /** The names of classes. */
+  Set<String> classes() {
+    return names("jobs", "name");
+  }
+
+  Set<String> zones() {
+    return names("capacity", "zone");
+  }
+
+  Set<String> types() {
+    return names("machine_types", "name");
+  }
+
+  private Set<String> names(String list, String field) {
+    Set<String> out = new TreeSet<>();
+    root.path(list).forEach(n -> out.add(n.path(field).asText()));
+    return out;
+  }
+
+  double duration() {
+    return root.path("duration_s").asDouble(500);
+  }
+
+  double warmup() {
+    return root.path("warmup_s").asDouble(80);
+  }
+
+  int nodes() {
+    return root.path("nodes").path("count").asInt(3);
+  }
+
+  /** All troubles that its days name, by kind. */
+  Map<String, List<ObjectNode>> troubles() {
+    Map<String, List<ObjectNode>> out = new TreeMap<>();
+    for (JsonNode day : root.path("day")) {
+      for (JsonNode f : day.path("faults")) {
+        if (f instanceof ObjectNode o) {
+          out.computeIfAbsent(f.path("kind").asText(), k -> new ArrayList<>()).add(o);
+        }
+      }
+    }
+    return out;
+  }
+
+  /** The names that a trouble refers to, checked against this site. */
+  void check(JsonNode fault) throws BadInput {
+    check(fault, "class", classes());
+    check(fault, "zone", zones());
+    check(fault, "type", types());
+  }
+
+  private static void check(JsonNode fault, String field, Set<String> known) throws BadInput {
+    if (fault.has(field) && !known.contains(fault.path(field).asText())) {
+      throw new BadInput(
+          fault.path("kind").asText() + ": unknown " + field + " " + fault.path(field).asText());
+    }
+  }
+
+  void write(Path to) throws IOException {
+    write(root, to);
+  }
+
+  static void write(ObjectNode n, Path to) throws IOException {
+    if (to.toAbsolutePath().getParent() != null) {
+      Files.createDirectories(to.toAbsolutePath().getParent());
+    }
+    TOML.writeValue(to.toFile(), n);
+  }
+
+  /** Something that the caller got wrong; the message is one line. */
+  static final class BadInput extends Exception {
+    private static final long serialVersionUID = 1;
+
+    BadInput(String message) {
+      super(message);
+    }
+  }
+}
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -174,7 +174,9 @@
 
   static JobSpec spec(String id, String kind, Map<String, String> o) {
     var n = Json.object();
-    n.put("id", id).put("jobclass", "c").put("owner", o.getOrDefault("team", "t"));
+    n.put("id", id)
+        .put("jobclass", o.getOrDefault("class", "c"))
+        .put("owner", o.getOrDefault("team", "t"));
     n.put("shape", kind).put("rank", o.getOrDefault("rank", "high"));
     n.put("flakes", Integer.parseInt(o.getOrDefault("tasks", "1")));
     n.put("cores", Double.parseDouble(o.getOrDefault("cpus", "2"))).put("cards", 0.0);
