Teams' guarantees: accounting, order, and room by stopping borrowed work; RoomMaker out of Placer

Need: `cpus` and `gpus` of a team were read and kept nowhere, which the protocol promises.

Change: core.admission.Guarantees (a job is within when it fits together with its team's earlier unfinished jobs; jobs that await others hold no part), worked out from the jobs at each plan, so a new leader has it from the records. All guarantees 0: nothing is worked out and no decision changes.

--- a/src/main/java/org/snowturn/config/SettingsReader.java
+++ b/src/main/java/org/snowturn/config/SettingsReader.java
@@ -62,9 +62,9 @@
       teams.add(
           new Settings.Team(
               text(t, "name", at),
-              number(t, "cpus", at, 0, 0.0),
+              guarantee(t, "cpus", at),
               number(t, "cpus_max", at, 0, 0.0),
-              number(t, "gpus", at, 0, 0.0),
+              guarantee(t, "gpus", at),
               number(t, "gpus_max", at, 0, 0.0)));
     }
     List<Settings.Objective> objectives = new ArrayList<>();
@@ -138,6 +138,16 @@
     return n.textValue();
   }
 
+  /** What a team is guaranteed may not be more than what it may use. */
+  private double guarantee(JsonNode team, String name, String at) throws SettingsException {
+    double v = number(team, name, at, 0, 0.0);
+    double most = number(team, name + "_max", at, 0, 0.0);
+    if (most > 0 && v > most) {
+      throw bad(at + name, "guarantee " + v + " is above " + name + "_max " + most);
+    }
+    return v;
+  }
+
   private double positive(JsonNode in, String name, String at) throws SettingsException {
     double v = number(in, name, at, 0, null);
     if (v == 0) {
--- a/src/main/java/org/snowturn/core/decide/Placer.java
+++ b/src/main/java/org/snowturn/core/decide/Placer.java
@@ -1,8 +1,6 @@
 package org.snowturn.core.decide;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,8 +8,8 @@
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
 import org.snowturn.core.act.Ledger;
-import org.snowturn.core.act.Reports;
 import org.snowturn.core.admission.Floors;
+import org.snowturn.core.admission.Guarantees;
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.picture.Job;
 import org.snowturn.core.picture.Machine;
@@ -40,40 +38,20 @@
   /** A fetch may take so much longer than the machine's type says. */
   private static final double FETCH_SLACK = 1.3;
 
-  /**
-   * Tasks that are stopped to make room beside an image end within this time, or are not waited
-   * for.
-   */
-  private static final long STOPPED_MS = 300;
-
-  /** How long a new service waits for room beside its image rather than fetch it elsewhere. */
-  private static final long IMAGE_PATIENCE_MS = 1_500;
-
-  /** How long room that is being made is waited for before more is made. */
-  private static final long ROOM_MS = 1_500;
-
   private final Calls calls;
   private final Ledger ledger;
   private final MachineBook machines;
   private final FleetPolicy policy;
   private final WaitingOrder order;
   private final SpotLosses spotLosses;
-  private final BooleanSupplier mayStop;
+  private final RoomMaker rooms;
   private final Floors floors = new Floors();
+  private final Guarantees guarantees;
   private final Map<String, Double> startWithin = new HashMap<>();
 
   /** What found no room in the present plan. */
   private final List<JobSpec> tooLarge = new ArrayList<>();
 
-  /** For what no room could be made in the present plan, and at which priority. */
-  private final List<NoRoom> noRoom = new ArrayList<>();
-
-  private record NoRoom(JobSpec spec, Priority priority) {}
-
-  /** In the present plan, the machines with work that a priority may stop; found when needed. */
-  private final Map<Priority, List<Machine>> stoppable = new EnumMap<>(Priority.class);
-
-  private List<Machine> planned = List.of();
   private long looks;
 
   /** The policy's, at the present plan. */
@@ -96,7 +74,8 @@
       WaitingOrder order,
       SpotLosses spotLosses,
       BooleanSupplier mayStop) {
-    this.mayStop = mayStop;
+    this.guarantees = new Guarantees(settings.teams());
+    this.rooms = new RoomMaker(calls, ledger, this, mayStop);
     this.order = order;
     this.spotLosses = spotLosses;
     for (Settings.Objective o : settings.objectives()) {
@@ -115,7 +94,6 @@
     long now = calls.now();
     plenty = policy.plenty();
     List<Machine> usable = new ArrayList<>();
-    planned = usable;
     for (Machine m : machines.present()) {
       if (m.usable(now) && machines.zoneKnown(m.zone)) {
         usable.add(m);
@@ -124,6 +102,9 @@
     List<Job> waiting = new ArrayList<>();
     largestReplica = 0;
     floors.begin(now);
+    if (guarantees.any()) {
+      guarantees.judge(ledger.jobs().stream().filter(Placer::claims).map(Claim::new).toList());
+    }
     for (Job j : ledger.jobs()) {
       largestReplica = j.spec.service() ? Math.max(largestReplica, j.spec.cpus()) : largestReplica;
       if (j.wantsRoom()) {
@@ -139,28 +120,72 @@
     }
     boolean room = true;
     tooLarge.clear();
-    noRoom.clear();
-    stoppable.clear();
+    rooms.begin(usable);
     for (Job j : starvingFirst(order.sorted(waiting, calls.wall()))) {
       if (!placeJob(j, usable)) {
         room = false;
-        makeRoom(j, usable);
+        rooms.makeRoom(j, usable);
       }
     }
     return room;
   }
 
+  /** Jobs that await others, or are cancelled, hold no part of a guarantee. */
+  private static boolean claims(Job j) {
+    boolean holds = !j.cancelled && !j.waits();
+    j.within &= holds;
+    return holds;
+  }
+
+  /** What a job claims of its team's guarantee. */
+  private record Claim(Job job) implements Guarantees.Claim {
+    @Override
+    public String team() {
+      return job.spec.team();
+    }
+
+    @Override
+    public double cpus() {
+      return job.spec.cpus() * job.state.length;
+    }
+
+    @Override
+    public double gpus() {
+      return job.spec.gpus() * job.state.length;
+    }
+
+    @Override
+    public long submitted() {
+      return job.submittedWall;
+    }
+
+    @Override
+    public String id() {
+      return job.spec.id();
+    }
+
+    @Override
+    public void within(boolean is) {
+      job.within = is;
+    }
+  }
+
   /**
-   * Among the production jobs, and then among the others, those of groups that had less than their
-   * floor go first. What they get so is theirs until it ends: work of higher priority would stop it
-   * at once, and all that had been done for it were wasted.
+   * First what is within its team's guarantee. Then, among the production jobs and then among the
+   * others, those of groups that had less than their floor go first. What they get so is theirs
+   * until it ends: work of higher priority would stop it at once, and all that had been done for it
+   * were wasted.
    */
   private List<Job> starvingFirst(List<Job> ordered) {
     List<Job> out = new ArrayList<>(ordered.size());
+    if (guarantees.any()) {
+      ordered.stream().filter(j -> j.within).forEach(out::add);
+    }
     for (boolean production : new boolean[] {true, false}) {
       for (boolean first : new boolean[] {true, false}) {
         for (Job j : ordered) {
-          if ((j.priority == Priority.PRODUCTION) == production && floors.first(j.group) == first) {
+          boolean here = (j.priority == Priority.PRODUCTION) == production && !j.within;
+          if (here && floors.first(j.group) == first) {
             j.byFloor |= first;
             out.add(j);
           }
@@ -183,14 +208,14 @@
     return false;
   }
 
-  private static boolean asksNoLess(JobSpec s, JobSpec than) {
+  static boolean asksNoLess(JobSpec s, JobSpec than) {
     return s.cpus() >= than.cpus()
         && s.memoryGb() >= than.memoryGb()
         && s.gpus() >= than.gpus()
         && (than.spot() || !s.spot());
   }
 
-  private static boolean unconstrained(JobSpec s) {
+  static boolean unconstrained(JobSpec s) {
     return s.types() == null && s.zone() == null && !s.spread() && !s.oneZone();
   }
 
@@ -237,7 +262,7 @@
         }
         return false;
       }
-      if (j.spec.service() && fetchIsLate(j.spec, best) && roomWithImage(j, usable)) {
+      if (j.spec.service() && fetchIsLate(j.spec, best) && rooms.roomWithImage(j, usable)) {
         return true; // the task stopped for it ends within milliseconds, a fetch takes seconds
       }
       ledger.bind(j, t, best, gang ? together : ledger.newAttempt());
@@ -288,7 +313,14 @@
 
   /** For operators: how the classes of each team are served. */
   public Map<String, Double> gauges() {
-    return floors.gauges();
+    Map<String, Double> g = new HashMap<>(floors.gauges());
+    g.putAll(guarantees.gauges());
+    return g;
+  }
+
+  /** A machine was looked at for a job. */
+  void looked() {
+    looks++;
   }
 
   /** How many times a machine was looked at for a job so far. */
@@ -415,175 +447,4 @@
     }
     return false;
   }
-
-  /** Makes room, or waits for room being made, on a machine that has a new service's image. */
-  private boolean roomWithImage(Job j, List<Machine> usable) {
-    if (calls.wall() - j.releasedWall > IMAGE_PATIENCE_MS || !mayStop.getAsBoolean()) {
-      return false;
-    }
-    if (calls.now() < j.roomUntil) {
-      // Where more replicas wait than room was made for, the others would wait for nothing.
-      return calls.now() < j.roomUntil - ROOM_MS + STOPPED_MS;
-    }
-    List<Machine> having = new ArrayList<>();
-    for (Machine m : usable) {
-      if (m.images.containsKey(j.spec.image()) && allowed(j, m)) {
-        having.add(m);
-      }
-    }
-    return makeRoom(j, having) || swap(j, having);
-  }
-
-  /** Moves a settled replica that can start elsewhere at once, to make room beside an image. */
-  private boolean swap(Job j, List<Machine> having) {
-    for (Machine m : having) {
-      if (calls.now() < m.preemptingUntil) {
-        continue;
-      }
-      for (long ref : Reports.copy(m.bound)) {
-        Job v = ledger.job(ref);
-        int t = Ledger.task(ref);
-        boolean movable =
-            v != j
-                && v.settled(t, calls.now())
-                && v.spec.cpus() >= j.spec.cpus()
-                && v.spec.gpus() >= j.spec.gpus()
-                && v.spec.memoryGb() >= j.spec.memoryGb();
-        if (movable && couldStartElsewhere(v, m)) {
-          calls.note(
-              v.spec.id()
-                  + "/"
-                  + t
-                  + " moves off "
-                  + m.id
-                  + ", image of "
-                  + j.spec.id()
-                  + " there");
-          m.preemptingUntil = calls.now() + ROOM_MS;
-          j.roomUntil = m.preemptingUntil;
-          v.avoid.put(t, m.index);
-          ledger.stop(v, t);
-          return true;
-        }
-      }
-    }
-    return false;
-  }
-
-  /**
-   * Stops tasks of lower priority where that lets tasks of this job start: on one machine for each
-   * waiting task, all at once, since one after the other a large service would wait for minutes.
-   */
-  private boolean makeRoom(Job j, List<Machine> usable) {
-    long now = calls.now();
-    if (now < j.roomUntil) {
-      return true; // room is being made already; see what it brings first
-    }
-    if (!mayStop.getAsBoolean()
-        || ledger.boundBelow(j.priority) == 0
-        || !ledger.quota().allows(j.spec)
-        || knownNoRoom(j)) {
-      return false;
-    }
-    List<Room> rooms = new ArrayList<>();
-    for (Machine m : withStoppable(j.priority, usable)) {
-      looks++;
-      if (now >= m.preemptingUntil && allowed(j, m)) {
-        List<Long> victims = victims(j, m);
-        if (victims != null) {
-          rooms.add(new Room(m, victims, score(j, m) + 10.0 * victims.size()));
-        }
-      }
-    }
-    if (rooms.isEmpty() && unconstrained(j.spec)) {
-      noRoom.add(new NoRoom(j.spec, j.priority));
-    }
-    rooms.sort(Comparator.comparingDouble(Room::score));
-    int[] inZone = j.boundInZone.clone();
-    int wanted = j.pending;
-    for (Room r : rooms) {
-      if (wanted == 0) {
-        break;
-      }
-      if (j.spec.spread() && inZone[r.machine.zone] >= j.spec.perZoneLimit()) {
-        continue;
-      }
-      inZone[r.machine.zone]++;
-      wanted--;
-      r.machine.preemptingUntil = now + ROOM_MS;
-      j.roomUntil = r.machine.preemptingUntil;
-      for (long ref : r.victims) {
-        Job v = ledger.job(ref);
-        int t = Ledger.task(ref);
-        calls.note(v.spec.id() + "/" + t + " stopped on " + r.machine.id + " for " + j.spec.id());
-        ledger.stop(v, t);
-      }
-    }
-    return now < j.roomUntil;
-  }
-
-  /**
-   * Whether for a job that asks for no more, at no lower priority, no room could be made in this
-   * plan. In a flood hundreds of jobs wait beside a few that may be stopped: looked for by each of
-   * them on each machine, those few cost a leader seconds, and its lease.
-   */
-  private boolean knownNoRoom(Job j) {
-    for (NoRoom n : noRoom) {
-      if (j.priority.compareTo(n.priority) >= 0 && asksNoLess(j.spec, n.spec)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private List<Machine> withStoppable(Priority p, List<Machine> usable) {
-    // What only some machines are asked for is not what the plan has found.
-    boolean all = usable == planned;
-    List<Machine> known = all ? stoppable.get(p) : null;
-    if (known == null) {
-      known = new ArrayList<>();
-      for (Machine m : usable) {
-        if (m.boundBelow(p) > 0) {
-          known.add(m);
-        }
-      }
-      if (all) {
-        stoppable.put(p, known);
-      }
-    }
-    return known;
-  }
-
-  /** What would have to stop on a machine for one task to start there. */
-  private record Room(Machine machine, List<Long> victims, double score) {}
-
-  /** The tasks whose end would make room, least loss first; null if there are not enough. */
-  private List<Long> victims(Job j, Machine m) {
-    double cpus = j.spec.cpus() - m.cpusFree();
-    double memory = j.spec.memoryGb() - (m.shape.memoryGb() - m.memoryUsed);
-    double gpus = j.spec.gpus() - (m.shape.gpus() - m.gpusUsed);
-    List<Long> candidates = new ArrayList<>();
-    for (long ref : Reports.copy(m.bound)) {
-      Job v = ledger.job(ref);
-      boolean theirs = v.byFloor && j.priority != Priority.PRODUCTION;
-      if (v.priority.compareTo(j.priority) > 0 && !theirs) {
-        candidates.add(ref);
-      }
-    }
-    candidates.sort(
-        Comparator.<Long>comparingInt(r -> -ledger.job(r).priority.ordinal())
-            .thenComparingLong(r -> -ledger.job(r).since[Ledger.task(r)]));
-    List<Long> out = new ArrayList<>();
-    for (long ref : candidates) {
-      if (cpus <= 1e-6 && memory <= 1e-6 && gpus <= 1e-6) {
-        break;
-      }
-      Job v = ledger.job(ref);
-      cpus -= v.spec.cpus();
-      memory -= v.spec.memoryGb();
-      gpus -= v.spec.gpus();
-      out.add(ref);
-    }
-    return cpus <= 1e-6 && memory <= 1e-6 && gpus <= 1e-6 ? out : null;
-  }
 }
--- a/src/main/java/org/snowturn/core/picture/Job.java
+++ b/src/main/java/org/snowturn/core/picture/Job.java
@@ -127,6 +127,9 @@
   /** The dense index of its team's class, or -1 until it is known. */
   public int group = -1;
 
+  /** Whether it is within its team's guarantee, as the last plan had it. */
+  public boolean within;
+
   /** Whether it was let go before others since its group had too little: it keeps what it got. */
   public boolean byFloor;
 
--- /dev/null
+++ b/src/test/java/org/snowturn/core/admission/GuaranteesTest.java
@@ -0,0 +1,106 @@
+package org.snowturn.core.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.snowturn.config.Settings;
+
+/** Accounting of guarantees against a naive recount in the protocol's words. */
+class GuaranteesTest {
+  private static final class Job implements Guarantees.Claim {
+    final String team;
+    final double cpus;
+    final double gpus;
+    final long submitted;
+    final String id;
+    boolean within;
+
+    Job(String team, double cpus, double gpus, long submitted, String id) {
+      this.team = team;
+      this.cpus = cpus;
+      this.gpus = gpus;
+      this.submitted = submitted;
+      this.id = id;
+    }
+
+    @Override
+    public String team() {
+      return team;
+    }
+
+    @Override
+    public double cpus() {
+      return cpus;
+    }
+
+    @Override
+    public double gpus() {
+      return gpus;
+    }
+
+    @Override
+    public long submitted() {
+      return submitted;
+    }
+
+    @Override
+    public String id() {
+      return id;
+    }
+
+    @Override
+    public void within(boolean is) {
+      within = is;
+    }
+  }
+
+  private static final List<Settings.Team> TEAMS =
+      List.of(
+          new Settings.Team("a", 20, 0, 0, 0),
+          new Settings.Team("b", 9, 40, 2, 4),
+          new Settings.Team("none", 0, 0, 0, 0));
+
+  @Property(seed = "6", tries = 300)
+  void equalsANaiveRecountInWhateverOrderTheJobsAreGiven(
+      @ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
+    SplittableRandom r = new SplittableRandom(seed);
+    List<Job> jobs = new ArrayList<>();
+    for (int i = r.nextInt(25); i > 0; i--) {
+      String team = TEAMS.get(r.nextInt(TEAMS.size())).name();
+      jobs.add(new Job(team, r.nextInt(8), r.nextInt(4) / 3, r.nextInt(6), "wk-" + i));
+    }
+    Collections.shuffle(jobs, new java.util.Random(seed));
+    Guarantees g = new Guarantees(TEAMS);
+    g.judge(jobs);
+    for (Job j : jobs) {
+      double cpus = 0;
+      double gpus = 0;
+      for (Job o : jobs) {
+        boolean notLater =
+            o.submitted < j.submitted || (o.submitted == j.submitted && o.id.compareTo(j.id) <= 0);
+        if (o.team.equals(j.team) && notLater) {
+          cpus += o.cpus;
+          gpus += o.gpus;
+        }
+      }
+      Settings.Team t = TEAMS.stream().filter(x -> x.name().equals(j.team)).findFirst().get();
+      boolean has = t.cpus() > 0 || t.gpus() > 0;
+      assertEquals(has && cpus <= t.cpus() && gpus <= t.gpus(), j.within, j.id);
+    }
+  }
+
+  @Test
+  void withoutGuaranteesThereIsNothingToWorkOut() {
+    assertFalse(new Guarantees(List.of(new Settings.Team("t", 0, 5, 0, 1))).any());
+    assertTrue(new Guarantees(TEAMS).any());
+  }
+}
--- a/src/test/java/org/snowturn/sim/Scenario.java
+++ b/src/test/java/org/snowturn/sim/Scenario.java
@@ -100,7 +100,8 @@
     List<Settings.Team> teams = new ArrayList<>();
     for (String t : options.getOrDefault("teams", "t:0").split("\\s+")) {
       String[] p = t.split(":");
-      teams.add(new Settings.Team(p[0], 0, Double.parseDouble(p[1]), 0, 0));
+      double guarantee = p.length > 2 ? Double.parseDouble(p[2]) : 0;
+      teams.add(new Settings.Team(p[0], guarantee, Double.parseDouble(p[1]), 0, 0));
     }
     double share = Double.parseDouble(options.getOrDefault("on-time", "0.99"));
     Settings[] out = new Settings[3];
