Picture reads by Loader, both parts of a rate by one division

Found on a last reading: LivePicture paged through a range as Loader does, now given the purpose of its reads; Needs divided requests and changes by the same lines, now one.

--- a/src/main/java/org/snowturn/core/admission/Admission.java
+++ b/src/main/java/org/snowturn/core/admission/Admission.java
@@ -36,7 +36,7 @@
     this.requestRate = requestRate;
     this.changeRate = changeRate;
     needs = new Needs(peers);
-    budget = new StateBudget(needs.requests(Needs.Need.NONE, requestRate, nowMs), nowMs);
+    budget = new StateBudget(needs.requests(requestRate, nowMs), nowMs);
     gate = new SubmitGate(random, needs.submitted(Needs.Need.NONE, changeRate, nowMs), nowMs);
   }
 
@@ -72,7 +72,7 @@
     }
     tellAt = nowMs + TELL_MS;
     Needs.Need mine = mine(nowMs);
-    budget.rate(needs.requests(mine, requestRate, nowMs), nowMs);
+    budget.rate(needs.requests(requestRate, nowMs), nowMs);
     gate.rate(needs.submitted(mine, changeRate, nowMs), nowMs);
     return true;
   }
--- a/src/main/java/org/snowturn/core/admission/Needs.java
+++ b/src/main/java/org/snowturn/core/admission/Needs.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 
 /**
  * What each node needs of the state service's rates, as the nodes tell each other, and so what this
@@ -87,17 +88,8 @@
   }
 
   /** The requests a second that this node may make, of so many for all. */
-  public double requests(Need mine, double rate, long nowMs) {
-    double all = rate * USED;
-    double equal = all / nodes();
-    double[] needs = new double[nodes()];
-    needs[0] = Double.MAX_VALUE; // what nobody else needs is ours
-    for (int i = 0; i < peers.size(); i++) {
-      String p = peers.get(i);
-      double need = fresh(p, nowMs) ? told.get(p).need.requests : equal;
-      needs[i + 1] = Math.max(need * 1.2, equal * KEPT);
-    }
-    return Math.max(equal, Shares.of(needs, all)[0]);
+  public double requests(double rate, long nowMs) {
+    return part(rate * USED, Need::requests, nowMs);
   }
 
   /** The changes a second that this node's users may ask for, of so many for all. */
@@ -109,12 +101,17 @@
       unknown |= !fresh(p, nowMs);
     }
     double all = Math.max(rate * USERS, unknown ? 0 : rate * USED - led);
+    return part(all, Need::submitted, nowMs);
+  }
+
+  /** This node's part of so much: what the peers need is theirs, what nobody else needs is ours. */
+  private double part(double all, ToDoubleFunction<Need> of, long nowMs) {
     double equal = all / nodes();
     double[] needs = new double[nodes()];
     needs[0] = Double.MAX_VALUE;
     for (int i = 0; i < peers.size(); i++) {
       String p = peers.get(i);
-      double need = fresh(p, nowMs) ? told.get(p).need.submitted : equal;
+      double need = fresh(p, nowMs) ? of.applyAsDouble(told.get(p).need) : equal;
       needs[i + 1] = Math.max(need * 1.2, equal * KEPT);
     }
     return Math.max(equal, Shares.of(needs, all)[0]);
--- a/src/main/java/org/snowturn/core/store/Loader.java
+++ b/src/main/java/org/snowturn/core/store/Loader.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.snowturn.core.Outcome;
+import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.MalformedException;
@@ -16,24 +17,27 @@
  * again ever later: at once, a refusal (429, 503) would become a loop at the network's speed.
  */
 public final class Loader {
-  public static final int TIMEOUT_MS = 2_500;
+  private static final int TIMEOUT_MS = 2_500;
   private static final int PAGE = 500;
 
-  /** Asks for the page after {@code since}; null: the first. */
-  public static String pagePath(String prefix, String since) {
-    return "/kv?prefix=" + prefix + "&most=" + PAGE + (since == null ? "" : "&since=" + since);
-  }
-
   private final Calls calls;
+  private final Purpose purpose;
   private final Backoff backoff;
   private final BooleanSupplier over;
 
+  /** Reads for a term. */
+  public Loader(Calls calls, BooleanSupplier over) {
+    this(calls, Purpose.WORK, over);
+  }
+
   /**
    * Has read nothing yet.
    *
+   * @param purpose what the reads are for
    * @param over whether nobody wants to know any more: nothing is tried again then
    */
-  public Loader(Calls calls, BooleanSupplier over) {
+  public Loader(Calls calls, Purpose purpose, BooleanSupplier over) {
+    this.purpose = purpose;
     this.over = over;
     this.calls = calls;
     this.backoff = calls.backoff();
@@ -52,9 +56,12 @@
       List<StateMessage.Entry> sofar,
       long epoch,
       Consumer<Range> then) {
+    String path =
+        "/kv?prefix=" + prefix + "&most=" + PAGE + (since == null ? "" : "&since=" + since);
     calls.state(
+        purpose,
         "GET",
-        pagePath(prefix, since),
+        path,
         null,
         TIMEOUT_MS,
         (outcome, status, body) -> {
--- a/src/main/java/org/snowturn/core/users/LivePicture.java
+++ b/src/main/java/org/snowturn/core/users/LivePicture.java
@@ -2,8 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.List;
 import org.snowturn.config.Settings;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Purpose;
@@ -151,39 +149,16 @@
 
   private void load() {
     loads++;
-    page(null, new ArrayList<>(), Long.MAX_VALUE);
-  }
-
-  private void page(String since, List<StateMessage.Entry> sofar, long oldest) {
-    calls.state(
-        Purpose.PROOFS,
-        "GET",
-        Loader.pagePath(Keys.JOBS, since),
-        null,
-        Loader.TIMEOUT_MS,
-        (outcome, status, body) -> {
-          try {
-            if (outcome == Outcome.ANSWERED && status == 200) {
-              List<StateMessage.Entry> got = StateMessage.entries(body);
-              long epoch = Math.min(oldest, StateMessage.epoch(body));
-              sofar.addAll(got);
-              if (StateMessage.more(body) && !got.isEmpty()) {
-                page(got.get(got.size() - 1).key(), sofar, epoch);
-              } else {
-                busy = false;
-                jobs.load(sofar, epoch);
-                backoff.reset();
-                nextAt = calls.now();
-                step();
-              }
-              return;
-            }
-          } catch (MalformedException e) {
-            calls.note("unusable page of jobs: " + e.getMessage());
-          }
-          busy = false;
-          nextAt = calls.now() + backoff.next(calls.retryAfterMs());
-        });
+    new Loader(calls, Purpose.PROOFS, () -> false)
+        .read(
+            Keys.JOBS,
+            range -> {
+              busy = false;
+              jobs.load(range.entries(), range.epoch());
+              backoff.reset();
+              nextAt = calls.now();
+              step();
+            });
   }
 
   /** How many questions proved the picture, or tried to. */
--- a/src/test/java/org/snowturn/core/admission/SharesTest.java
+++ b/src/test/java/org/snowturn/core/admission/SharesTest.java
@@ -53,7 +53,7 @@
       }
       Needs.Need mine = new Needs.Need(needs.get(me), needs.get(me) / 10, 0);
       // What a node takes is no more than it needs, nor than its part.
-      sum += Math.min(needs.get(me), n.requests(mine, rate, 1500));
+      sum += Math.min(needs.get(me), n.requests(rate, 1500));
       users += Math.min(needs.get(me) / 10, n.submitted(mine, 20, 1500));
     }
     assertTrue(sum <= rate + SLACK, "requests " + sum);
@@ -63,16 +63,15 @@
   @Test
   void aNodeWithoutWordOfTheOthersTakesTheEqualPart() {
     Needs n = new Needs(List.of("a", "b"));
-    Needs.Need mine = new Needs.Need(1000, 50, 0);
-    double equal = n.requests(mine, 300, 0);
+    double equal = n.requests(300, 0);
     assertEquals(95, equal, SLACK);
     n.told("a", Needs.Need.NONE, 0);
     n.told("b", new Needs.Need(10, 0, 0), 0);
     n.told("stranger", new Needs.Need(900, 900, 900), 0);
-    double lent = n.requests(mine, 300, 1000);
+    double lent = n.requests(300, 1000);
     assertTrue(lent > 220 && lent < 285, "" + lent);
     // A peer that is cut off or frozen gets its part back once its word is old.
-    assertEquals(95, n.requests(mine, 300, 1000 + Needs.STALE_MS), SLACK);
+    assertEquals(95, n.requests(300, 1000 + Needs.STALE_MS), SLACK);
   }
 
   @Test
