--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -6,6 +6,15 @@
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.core.admission.Admission;
+import org.snowturn.core.authority.Election;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Catalog;
+import org.snowturn.core.reach.Relays;
+import org.snowturn.core.reach.Surroundings;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.term.Leader;
+import org.snowturn.core.users.LivePicture;
+import org.snowturn.core.users.UserDesk;
 import org.snowturn.wire.Command;
 
 /**
--- a/src/main/java/org/snowturn/core/JobGraph.java
+++ b/src/main/java/org/snowturn/core/act/JobGraph.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.act;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
@@ -10,7 +10,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.Recent;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.store.JobFinder;
+import org.snowturn.core.store.Writer;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Priority;
@@ -23,7 +31,7 @@
  * done, cancelled when one of them is, and until then lends its priority and its deadline to those
  * it waits for. All of it follows from stored records, so every leader comes to the same.
  */
-final class JobGraph implements Ledger.Listener {
+public final class JobGraph implements Ledger.Listener {
   private static final long LOOK_AGAIN_MS = 500;
   private static final long LOOK_WITHIN_MS = 10_000;
   private static final long RECOUNT_MS = 250;
@@ -53,7 +61,7 @@
   private boolean recount;
   private long recountAt;
 
-  JobGraph(Calls calls, FormatGate gate, Ledger ledger, Writer writer) {
+  public JobGraph(Calls calls, FormatGate gate, Ledger ledger, Writer writer) {
     this.calls = calls;
     this.gate = gate;
     this.ledger = ledger;
@@ -61,7 +69,7 @@
   }
 
   /** How many jobs wait for others. */
-  int waitingJobs() {
+  public int waitingJobs() {
     int n = 0;
     for (Job j : ledger.jobs()) {
       n += j.waits() ? 1 : 0;
@@ -105,7 +113,7 @@
   }
 
   /** Takes in new jobs, looks up what is not known, and writes what is to be cancelled. */
-  void step() {
+  public void step() {
     while (!joined.isEmpty()) {
       join(joined.poll());
     }
--- a/src/main/java/org/snowturn/core/Ledger.java
+++ b/src/main/java/org/snowturn/core/act/Ledger.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.act;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -11,6 +11,21 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntPredicate;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.picture.Quota;
+import org.snowturn.core.picture.TaskRecords;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.Recent;
+import org.snowturn.core.records.Slot;
+import org.snowturn.core.records.StoredJob;
+import org.snowturn.core.records.TaskLayout;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.store.Loader;
+import org.snowturn.core.store.Writer;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.MalformedException;
@@ -23,15 +38,12 @@
  * Which task may be where. The only place where tasks are bound, released and completed, so that
  * room, quota, zones and records always agree.
  */
-final class Ledger {
-  /** An attempt's number is its leader's token, shifted by so many bits, and a count. */
-  static final int ATTEMPT_BITS = 20;
-
+public final class Ledger {
   private static final long NOT_RECORDED_MS = 20_000;
   private static final int REMEMBERED = 5_000;
 
   /** Who wants to know how jobs come and go. */
-  interface Listener {
+  public interface Listener {
     void joined(Job j);
 
     void cancelled(Job j);
@@ -67,7 +79,7 @@
   private boolean changed = true;
   private Listener listener;
 
-  Ledger(
+  public Ledger(
       Calls calls, FormatGate gate, Writer writer, MachineBook machines, Quota quota, long token) {
     this.calls = calls;
     this.gate = gate;
@@ -77,43 +89,43 @@
     this.token = token;
   }
 
-  void listen(Listener l) {
+  public void listen(Listener l) {
     listener = l;
   }
 
-  Collection<Job> jobs() {
+  public Collection<Job> jobs() {
     return jobs.values();
   }
 
-  Job job(String id) {
+  public Job job(String id) {
     return jobs.get(id);
   }
 
-  Job job(long ref) {
+  public Job job(long ref) {
     return byIndex.get((int) (ref >>> 32));
   }
 
-  static int task(long ref) {
+  public static int task(long ref) {
     return (int) ref;
   }
 
-  Quota quota() {
+  public Quota quota() {
     return quota;
   }
 
   /** Whether anything changed that could let a waiting task be placed; resets the mark. */
-  boolean takeChanged() {
+  public boolean takeChanged() {
     boolean was = changed;
     changed = false;
     return was;
   }
 
-  void somethingChanged() {
+  public void somethingChanged() {
     changed = true;
   }
 
   /** Adds a job or takes over a newer version of its record. */
-  void record(String id, StoredJob stored, long stamp) {
+  public void record(String id, StoredJob stored, long stamp) {
     if (ended.containsKey(id)) {
       return; // else it would be ended once more, at the cost of changes that fail
     }
@@ -172,7 +184,7 @@
    * transaction that would still accept one names that part's version, and fails from then on. The
    * others go only while the first is not there again: else the user's next try counts on them.
    */
-  void dropUnusedParts(List<StateMessage.Entry> parts, Set<String> used) {
+  public void dropUnusedParts(List<StateMessage.Entry> parts, Set<String> used) {
     Map<String, List<StateMessage.Entry>> bySubmission = new LinkedHashMap<>();
     for (StateMessage.Entry e : parts) {
       if (!used.contains(e.key())) {
@@ -204,7 +216,7 @@
   }
 
   /** Takes in a record whose parts have been read. */
-  void recordWith(String id, StoredJob stored, long stamp, Map<String, String> parts) {
+  public void recordWith(String id, StoredJob stored, long stamp, Map<String, String> parts) {
     try {
       record(id, stored.withParts(id, parts), stamp);
     } catch (MalformedException e) {
@@ -227,7 +239,7 @@
   }
 
   /** The record is no longer live: nothing of the job is left to do. */
-  void remove(String id) {
+  public void remove(String id) {
     partsWanted.remove(id);
     Job j = jobs.remove(id);
     if (j == null) {
@@ -243,7 +255,7 @@
         release(j, t);
       }
     }
-    for (Writer.Slot s : j.chunks) {
+    for (Slot s : j.chunks) {
       if (s != null) {
         writer.forget(s);
       }
@@ -253,7 +265,7 @@
     changed = true;
   }
 
-  Writer.Slot chunk(Job j, int chunk) {
+  public Slot chunk(Job j, int chunk) {
     if (j.chunks[chunk] == null) {
       String id = j.spec.id();
       j.chunks[chunk] =
@@ -267,7 +279,7 @@
   }
 
   /** Takes over a stored record of tasks: results, and tasks that an earlier leader bound. */
-  void loadChunk(Job j, int chunk, JsonNode value, long stamp) {
+  public void loadChunk(Job j, int chunk, JsonNode value, long stamp) {
     if (chunk < 0 || chunk >= j.chunks.length) {
       return;
     }
@@ -280,8 +292,8 @@
    * no record of the second format tells of: those are newer, since nobody writes the first any
    * more.
    */
-  void loadOlderChunk(Job j, int chunk, JsonNode value, long stamp) {
-    Writer.Slot s = writer.slot(Keys.tasks(j.spec.id(), chunk), stamp, () -> null, () -> null);
+  public void loadOlderChunk(Job j, int chunk, JsonNode value, long stamp) {
+    Slot s = writer.slot(Keys.tasks(j.spec.id(), chunk), stamp, () -> null, () -> null);
     j.olderChunks.add(s);
     load(
         j,
@@ -289,7 +301,7 @@
         chunk * gate.spans().first(),
         false,
         t -> {
-          Writer.Slot newer = j.chunks[j.layout.recordOf(t)];
+          Slot newer = j.chunks[j.layout.recordOf(t)];
           return newer == null || newer.stamp == 0;
         });
   }
@@ -345,14 +357,14 @@
    * Goes on in the second format with the jobs whose records of the first are settled; tells
    * whether some are left.
    */
-  boolean useSecondFormat() {
+  public boolean useSecondFormat() {
     boolean left = false;
     for (Job j : jobs.values()) {
       if (j.secondFormat) {
         continue;
       }
       boolean unsettled = j.finishing;
-      for (Writer.Slot s : j.chunks) {
+      for (Slot s : j.chunks) {
         unsettled |= s != null && s.inFlight;
       }
       left |= unsettled;
@@ -364,7 +376,7 @@
   }
 
   private void useSecondFormat(Job j) {
-    Writer.Slot[] older = j.chunks;
+    Slot[] older = j.chunks;
     j.useSecondFormat(gate.spans(), gate.limits().valueBytes(), machines);
     for (int c = 0; c < older.length; c++) {
       if (older[c] == null || !older[c].dirty) {
@@ -408,7 +420,7 @@
   }
 
   /** An inherited task was seen under this token, or has ended. */
-  void known(Job j, int t) {
+  public void known(Job j, int t) {
     if (j.inherited.get(t)) {
       j.inherited.clear(t);
       machines.get(j.machine[t]).inherited--;
@@ -417,7 +429,7 @@
   }
 
   /** How many tasks that an earlier leader placed are neither seen under this token nor ended. */
-  int inherited() {
+  public int inherited() {
     return inherited;
   }
 
@@ -425,7 +437,7 @@
    * Leaves a job alone of which a record cannot be read. What has been taken in of it is let go: no
    * room is counted for it, and its machines get nothing new while they list its tasks.
    */
-  void setAside(String id) {
+  public void setAside(String id) {
     aside.add(id);
     Job j = jobs.remove(id);
     if (j == null) {
@@ -441,12 +453,12 @@
     changed = true;
   }
 
-  boolean isAside(String id) {
+  public boolean isAside(String id) {
     return aside.contains(id);
   }
 
   /** A job has the priority of the most urgent one that needs it. */
-  void reprioritize(Job j, Priority p) {
+  public void reprioritize(Job j, Priority p) {
     if (p != j.priority) {
       boundBy[j.priority.ordinal()] -= j.bound;
       boundBy[p.ordinal()] += j.bound;
@@ -462,7 +474,7 @@
   }
 
   /** How many tasks that may be on machines are of lower priority than this. */
-  int boundBelow(Priority p) {
+  public int boundBelow(Priority p) {
     int n = 0;
     for (int i = p.ordinal() + 1; i < boundBy.length; i++) {
       n += boundBy[i];
@@ -471,7 +483,7 @@
   }
 
   /** How many tasks this leader has placed. */
-  long placements() {
+  public long placements() {
     return placements;
   }
 
@@ -480,7 +492,7 @@
    * zone and released in the new one, a job's tasks would be too few there for ever, and one more
    * than its spread allows would start (wrong_place).
    */
-  void locate(Machine m, int zone) {
+  public void locate(Machine m, int zone) {
     if (zone != m.zone) {
       for (long ref : Reports.copy(m.bound)) {
         Job j = job(ref);
@@ -492,12 +504,12 @@
   }
 
   /** A number that no attempt under any leader has had. */
-  long newAttempt() {
-    return (token << ATTEMPT_BITS) + ++attempts;
+  public long newAttempt() {
+    return (token << TaskLayout.ATTEMPT_BITS) + ++attempts;
   }
 
   /** Binds a pending task; its start is sent when the placement is durable. */
-  void bind(Job j, int t, Machine m, long attempt) {
+  public void bind(Job j, int t, Machine m, long attempt) {
     take(j, t, m, attempt, m.session);
     j.enter(t, Job.PLACING);
     j.placedWall = calls.wall();
@@ -521,18 +533,18 @@
     m.outbox.add(start(j, t));
   }
 
-  Command start(Job j, int t) {
+  public Command start(Job j, int t) {
     return new Command(Command.Op.START, j.spec.id(), t, j.attempt[t], 0);
   }
 
-  Command stopCommand(Job j, int t) {
+  public Command stopCommand(Job j, int t) {
     boolean saves = !j.cancelled && j.spec.checkpointS() > 0 && j.spec.saveS() > 0;
     return new Command(
         Command.Op.STOP, j.spec.id(), t, j.attempt[t], saves ? j.spec.saveS() + 1 : 0);
   }
 
   /** Tells a bound task to stop; it stays bound until it is seen to have ended. */
-  void stop(Job j, int t) {
+  public void stop(Job j, int t) {
     if (j.state[t] == Job.PLACING) {
       release(j, t);
       return;
@@ -548,7 +560,7 @@
    * The state service will not have a record of tasks: the placements in it never happened, and the
    * job is left alone for a while.
    */
-  void notRecorded(String key) {
+  public void notRecorded(String key) {
     for (Job j : jobs.values()) {
       for (int c = 0; c < j.chunks.length; c++) {
         if (j.chunks[c] == null || !j.chunks[c].key.equals(key)) {
@@ -566,7 +578,7 @@
   }
 
   /** The task has certainly ended without a result: it waits again. */
-  void release(Job j, int t) {
+  public void release(Job j, int t) {
     unbind(j, t);
     j.enter(t, Job.PENDING);
     j.pending++;
@@ -594,7 +606,7 @@
   }
 
   /** The task's result is kept by its machine until the record of it is durable. */
-  void complete(Job j, int t) {
+  public void complete(Job j, int t) {
     if (j.state[t] == Job.DONE) {
       return;
     }
@@ -620,7 +632,7 @@
   }
 
   /** Whether a worker may forget this ended attempt. */
-  boolean forgettable(String jobId, int task, long attempt) {
+  public boolean forgettable(String jobId, int task, long attempt) {
     Job j = jobs.get(jobId);
     if (j == null || task >= j.state.length) {
       return true;
@@ -631,20 +643,20 @@
     return !j.resultPending.get(task);
   }
 
-  void retryFinishing() {
+  public void retryFinishing() {
     for (Job j : List.copyOf(jobs.values())) {
       finishIfOver(j);
     }
   }
 
   /** Moves a job that is over to its short record, in one transaction that proves every result. */
-  void finishIfOver(Job j) {
+  public void finishIfOver(Job j) {
     boolean done = !j.cancelled && j.done == j.state.length;
     boolean aborted = j.cancelled && j.bound == 0;
     if (j.finishing || !(done || aborted) || jobs.get(j.spec.id()) != j) {
       return;
     }
-    for (Writer.Slot s : j.chunks) {
+    for (Slot s : j.chunks) {
       if (s != null && s.inFlight) {
         return; // retried when that write is settled
       }
@@ -660,7 +672,7 @@
     }
     List<Change> drops = new ArrayList<>();
     StoredJob.partKeys(id, j.submission, j.parts).forEach(k -> drops.add(Change.delete(k)));
-    for (Writer.Slot s : j.chunks) {
+    for (Slot s : j.chunks) {
       if (s != null) {
         writer.clear(s);
         dropIfStored(s, drops);
@@ -688,7 +700,7 @@
         });
   }
 
-  private static void dropIfStored(Writer.Slot s, List<Change> drops) {
+  private static void dropIfStored(Slot s, List<Change> drops) {
     if (s.stamp != 0) {
       drops.add(Change.delete(s.key));
     }
@@ -713,7 +725,7 @@
   }
 
   /** Removes records that no longer mean anything. */
-  void dropLater(List<Change> drops) {
+  public void dropLater(List<Change> drops) {
     dropLater(List.of(), drops);
   }
 
@@ -729,12 +741,12 @@
   }
 
   /** Reads a job's record again after a write that did not go through as expected. */
-  void refresh(String id) {
+  public void refresh(String id) {
     refresh(id, () -> {});
   }
 
   /** The same, and goes on whatever came of it. */
-  void refresh(String id, Runnable then) {
+  public void refresh(String id, Runnable then) {
     calls.state(
         "GET",
         "/kv/" + Keys.job(id),
--- a/src/main/java/org/snowturn/core/MachineRoll.java
+++ b/src/main/java/org/snowturn/core/act/MachineRoll.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.act;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -9,6 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.Slot;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.store.Writer;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.StateMessage;
 
@@ -17,7 +25,7 @@
  * of hundreds of machines the write budget of half a minute. It also tells a new leader which
  * images the machines have, so that it goes on placing tasks beside their images.
  */
-final class MachineRoll {
+public final class MachineRoll {
   /** First format: an entry's bytes with its images' numbers, and a page's for images' names. */
   private static final int ENTRY_BYTES = 200;
 
@@ -40,7 +48,7 @@
   private static final long STRIKES_EVERY_MS = 2_000;
 
   private static final class Page {
-    final Writer.Slot slot;
+    final Slot slot;
     final List<Machine> machines = new ArrayList<>();
     boolean splitting;
 
@@ -50,7 +58,7 @@
     long struckAt = Job.UNKNOWN;
     long imagesAt = Job.UNKNOWN;
 
-    Page(Writer.Slot slot) {
+    Page(Slot slot) {
       this.slot = slot;
     }
   }
@@ -61,7 +69,7 @@
   private final FormatGate gate;
   private final List<Page> pages = new ArrayList<>();
 
-  MachineRoll(Calls calls, Writer writer, MachineBook machines, FormatGate gate) {
+  public MachineRoll(Calls calls, Writer writer, MachineBook machines, FormatGate gate) {
     this.calls = calls;
     this.writer = writer;
     this.machines = machines;
@@ -183,7 +191,7 @@
   }
 
   /** Writes a machine down; it may get tasks once that is durable. */
-  void enter(Machine m, Runnable onDurable) {
+  public void enter(Machine m, Runnable onDurable) {
     if (m.rollPage < 0) {
       put(m, pageWithRoom(m));
     }
@@ -204,7 +212,7 @@
   }
 
   /** Takes over a stored page; {@code each} is told of every machine on it. */
-  void load(StateMessage.Entry e, Consumer<Machine> each) {
+  public void load(StateMessage.Entry e, Consumer<Machine> each) {
     int number = Integer.parseInt(e.key().substring(Keys.ROLL.length()));
     page(number).slot.stamp = e.stamp();
     boolean second = e.value().path("v").asInt(Keys.VERSION) >= Keys.SECOND;
@@ -226,7 +234,7 @@
   }
 
   /** Strikes out the machines that are gone with all that was on them, and notes new images. */
-  void sweep() {
+  public void sweep() {
     for (Page p : List.copyOf(pages)) {
       if (p.splitting || split(p)) {
         continue; // written once it is short enough
--- a/src/main/java/org/snowturn/core/Outbox.java
+++ b/src/main/java/org/snowturn/core/act/Outbox.java
@@ -1,10 +1,15 @@
-package org.snowturn.core;
+package org.snowturn.core.act;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Commands;
+import org.snowturn.core.picture.Machine;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Report;
@@ -13,7 +18,7 @@
  * Direct commands to one machine, one message at a time. What gets no answer is not repeated here:
  * the next report's response carries every command that still matters.
  */
-final class Outbox {
+public final class Outbox implements Commands {
   private static final int TIMEOUT_MS = 2000;
 
   /** A machine that only has to say that it is there answers sooner. */
@@ -22,7 +27,7 @@
   private static final long FIRST_SESSION = 1;
 
   /** What the outbox needs of the leader. */
-  interface Host {
+  public interface Host {
     boolean hasAuthority();
 
     long token();
@@ -43,13 +48,14 @@
   private boolean probe;
   private boolean queued;
 
-  Outbox(Calls calls, Host host, Machine machine) {
+  public Outbox(Calls calls, Host host, Machine machine) {
     this.calls = calls;
     this.host = host;
     this.machine = machine;
   }
 
-  void add(Command c) {
+  @Override
+  public void add(Command c) {
     queue.put(c.op() + c.job() + "/" + c.task() + "#" + c.attempt(), c);
     want();
   }
@@ -63,32 +69,36 @@
   }
 
   /** Sends a message even without commands, to learn what the machine runs. */
-  void ask() {
+  @Override
+  public void ask() {
     probe = true;
     want();
   }
 
   /** One number for an attempt of a task; attempts of a gang's tasks are the same. */
-  static long doubt(long attempt, int task) {
+  public static long doubt(long attempt, int task) {
     return attempt * 131_072 + task;
   }
 
   /** The machine's address has become known. */
-  void resume() {
+  @Override
+  public void resume() {
     if (!queue.isEmpty() || probe) {
       want();
     }
   }
 
-  void drop() {
+  @Override
+  public void drop() {
     queue.clear();
   }
 
-  boolean idle() {
+  @Override
+  public boolean idle() {
     return !busy && queue.isEmpty();
   }
 
-  void flush() {
+  public void flush() {
     queued = false;
     if (busy
         || machine.addr == null
--- a/src/main/java/org/snowturn/core/Reports.java
+++ b/src/main/java/org/snowturn/core/act/Reports.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.act;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -6,6 +6,12 @@
 import org.agrona.collections.LongHashSet;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Catalog;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.picture.SpotLosses;
 import org.snowturn.core.recovery.Squaring;
 import org.snowturn.core.recovery.Squaring.Seen;
 import org.snowturn.core.recovery.Squaring.Stored;
@@ -20,7 +26,7 @@
  * seq); what it does not list proves something only when it carries this leader's token, because
  * only then can no start of an earlier leader still be executed.
  */
-final class Reports {
+public final class Reports {
   private static final double DRIFT = 0.001;
   private static final long LAPSE_MARGIN_MS = 600;
 
@@ -38,7 +44,7 @@
   private final long token;
   private long repeatedStarts;
 
-  Reports(
+  public Reports(
       Calls calls,
       Settings settings,
       Tunables tunables,
@@ -58,7 +64,7 @@
   }
 
   /** How long after the last answer a machine's session has certainly ended. */
-  static long lapseMs(Settings s) {
+  public static long lapseMs(Settings s) {
     return (long) (s.workers().leaseS() * 1000 * (1 + DRIFT)) + LAPSE_MARGIN_MS;
   }
 
@@ -66,17 +72,17 @@
    * How long a machine that is up may take to find a new leader: a report's interval, the time-out
    * of one sent to the node that is gone, and two tries elsewhere.
    */
-  static long turnOverMs(Settings s) {
+  public static long turnOverMs(Settings s) {
     return Math.min(lapseMs(s), (long) (1000 * s.workers().reportS() * 1.25) + TURN_OVER_MS);
   }
 
   /** The longest usual time between two reports of a machine. */
-  static long quietMs(Settings s) {
+  public static long quietMs(Settings s) {
     return (long) (1000 * (s.workers().reportS() * 1.25 + 0.8));
   }
 
   /** Believes a report if it is the newest of its machine. */
-  boolean apply(Machine m, Report r) {
+  public boolean apply(Machine m, Report r) {
     if (r.session() < m.session || (r.session() == m.session && r.seq() <= m.seq)) {
       return false;
     }
@@ -247,7 +253,7 @@
         false);
   }
 
-  static long[] copy(LongHashSet set) {
+  public static long[] copy(LongHashSet set) {
     LongArrayList out = new LongArrayList(set.size(), Long.MIN_VALUE);
     LongHashSet.LongIterator it = set.iterator();
     while (it.hasNext()) {
@@ -343,12 +349,12 @@
   }
 
   /** How many starts were sent again in answers, since a report did not list them. */
-  long repeatedStarts() {
+  public long repeatedStarts() {
     return repeatedStarts;
   }
 
   /** What the worker is to do, by what it has just reported. */
-  List<Command> orders(Machine m, Report r) {
+  public List<Command> orders(Machine m, Report r) {
     List<Command> out = new ArrayList<>();
     if (r.session() != m.session || r.seq() != m.seq) {
       return out;
@@ -391,7 +397,7 @@
   }
 
   /** Releases what was on machines whose session has certainly ended. */
-  void lapse(Machine m) {
+  public void lapse(Machine m) {
     if (m.bound.isEmpty() || calls.now() < m.lastAnswerAt + lapseMs(settings)) {
       return;
     }
@@ -405,7 +411,7 @@
   }
 
   /** Releases everything on a machine that is gone or whose sessions so far have ended. */
-  void releaseAll(Machine m) {
+  public void releaseAll(Machine m) {
     for (long ref : copy(m.bound)) {
       ledger.release(ledger.job(ref), Ledger.task(ref));
     }
@@ -413,7 +419,7 @@
   }
 
   /** Takes a machine's description from its report. */
-  void describe(Machine m, Report r) {
+  public void describe(Machine m, Report r) {
     m.addr = r.addr();
     m.outbox.resume();
     m.type = r.type();
--- a/src/main/java/org/snowturn/core/Election.java
+++ b/src/main/java/org/snowturn/core/authority/Election.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.authority;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
@@ -10,7 +10,12 @@
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.PeerRecord;
 import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.records.Keys;
 import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
@@ -28,7 +33,7 @@
  * promise binds the node, not the process: a restarted node keeps quiet for as long as a promise of
  * its predecessor could last, unless every peer has told it that it does not lead.
  */
-final class Election {
+public final class Election {
   private static final double DRIFT = 0.002;
   private static final int CALL_MS = 1500;
 
@@ -118,7 +123,8 @@
    * @param startedAt when this process began, in milliseconds of the steady clock: whatever its
    *     predecessor on this node has promised was promised before that
    */
-  Election(Settings settings, Tunables tunables, Calls calls, String incarnation, long startedAt) {
+  public Election(
+      Settings settings, Tunables tunables, Calls calls, String incarnation, long startedAt) {
     this.startedAt = startedAt;
     this.backoff = calls.backoff(RETRY_LEAST_MS, RETRY_MOST_MS);
     this.settings = settings;
@@ -128,7 +134,7 @@
   }
 
   /** The lease's life: within a worker's lease a new leader must have been found by the workers. */
-  static long ttlMs(Settings s, Tunables t) {
+  public static long ttlMs(Settings s, Tunables t) {
     double ttl = t.leaderTtlS() > 0 ? t.leaderTtlS() : Math.min(2.5, s.workers().leaseS() * 0.25);
     // A cancellation must be carried out by the next leader even if its machine only lapses.
     double most = s.workers().cancelS() - s.workers().leaseS() - 2;
@@ -136,20 +142,20 @@
   }
 
   /** Asks this before a claim: whether a peer reaches what this node does not. */
-  void holdBackIf(BooleanSupplier better) {
+  public void holdBackIf(BooleanSupplier better) {
     betterElsewhere = better;
   }
 
   /** When the last request that the state service answered was sent; {@link Job#UNKNOWN}: never. */
-  long stateOkAt() {
+  public long stateOkAt() {
     return stateOkAt;
   }
 
-  boolean leading() {
+  public boolean leading() {
     return role == Role.LEADING;
   }
 
-  boolean hasAuthority() {
+  public boolean hasAuthority() {
     return role == Role.LEADING && (calls.now() < authorityUntil || promisedByAll());
   }
 
@@ -166,12 +172,12 @@
   }
 
   /** Whether the state service has answered this node lately. */
-  boolean stateHealthy() {
+  public boolean stateHealthy() {
     return calls.now() - STATE_LOST_MS < stateOkAt;
   }
 
   /** Whether a peer has said lately that the state service answers it. */
-  boolean peersReachState() {
+  public boolean peersReachState() {
     for (long at : peerStateOkAt.values()) {
       if (calls.now() - PEER_NEWS_MS < at) {
         return true;
@@ -180,20 +186,20 @@
     return false;
   }
 
-  long token() {
+  public long token() {
     return token;
   }
 
-  long lease() {
+  public long lease() {
     return lease;
   }
 
   /** Who leads, as far as this node knows; null if nobody or itself without authority. */
-  String leader() {
+  public String leader() {
     return settings.node().equals(knownLeader) ? null : knownLeader;
   }
 
-  void tick() {
+  public void tick() {
     long now = calls.now();
     if (tickedAt != Job.UNKNOWN && now - tickedAt > LATE_TICK_MS) {
       lateAt = now;
@@ -279,7 +285,7 @@
   }
 
   /** Takes a peer's record. */
-  void fromPeer(PeerRecord r) {
+  public void fromPeer(PeerRecord r) {
     if (r instanceof PeerRecord.Status s) {
       notLeading.add(s.from());
       heardOfState(s.from(), s.stateOk());
@@ -555,7 +561,7 @@
   }
 
   /** Gives up leadership; the next look finds who has it. */
-  void stepDown(String why) {
+  public void stepDown(String why) {
     if (role != Role.LEADING) {
       return;
     }
@@ -567,7 +573,7 @@
   }
 
   /** Gives up leadership so that another node can have it at once. */
-  void resign(String why) {
+  public void resign(String why) {
     long old = lease;
     holdOffUntil = calls.now() + HOLD_OFF_MS;
     stepDown(why);
--- a/src/main/java/org/snowturn/core/Calls.java
+++ b/src/main/java/org/snowturn/core/calls/Calls.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.calls;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -8,14 +8,18 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Input;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.PeerRecord;
 import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.admission.StateBudget;
 import org.snowturn.core.recovery.Backoff;
 
 /** Collects effects, and remembers what to do with each reply and when a time has come. */
-final class Calls {
+public final class Calls {
   /** Continues after a reply. */
-  interface Then {
+  public interface Then {
     void on(Outcome outcome, int status, JsonNode body);
   }
 
@@ -52,77 +56,78 @@
   private long wall;
 
   /** All that is drawn at random is drawn from this seed. */
-  Calls(long seed) {
+  public Calls(long seed) {
     random = new SplittableRandom(seed);
   }
 
   /** From now on, calls to the state service have to find room in this. */
-  void keep(StateBudget b) {
+  public void keep(StateBudget b) {
     budget = b;
   }
 
-  RandomGenerator random() {
+  public RandomGenerator random() {
     return random;
   }
 
-  long now() {
+  public long now() {
     return now;
   }
 
   /** Delays between the tries of one call. */
-  Backoff backoff() {
+  public Backoff backoff() {
     return backoff(AGAIN_LEAST_MS, AGAIN_MOST_MS);
   }
 
   /** The same between other bounds, in milliseconds. */
-  Backoff backoff(long leastMs, long mostMs) {
+  public Backoff backoff(long leastMs, long mostMs) {
     return new Backoff(random, leastMs, mostMs);
   }
 
   /** What the reply that is being handled asks for, in milliseconds; 0 if nothing. */
-  long retryAfterMs() {
+  public long retryAfterMs() {
     return retryAfterMs;
   }
 
   /** In the handling of a reply that failed: does it once more when it is time. */
-  void again(Backoff backoff, Runnable run) {
+  public void again(Backoff backoff, Runnable run) {
     after(backoff.next(retryAfterMs), run);
   }
 
   /** Does something at the first tick after this time, in milliseconds. */
-  void after(long ms, Runnable run) {
+  public void after(long ms, Runnable run) {
     timers.add(new Timer(now + ms, timerOrder++, run));
   }
 
   /** Time has passed. */
-  void tick() {
+  public void tick() {
     while (!timers.isEmpty() && timers.peek().at <= now) {
       timers.poll().run.run();
     }
   }
 
-  long wall() {
+  public long wall() {
     return wall;
   }
 
-  void at(long nowMs, long wallMs) {
+  public void at(long nowMs, long wallMs) {
     now = nowMs;
     wall = wallMs;
   }
 
   /** What a term reads or writes. */
-  void state(String method, String path, JsonNode body, int timeoutMs, Then then) {
+  public void state(String method, String path, JsonNode body, int timeoutMs, Then then) {
     state(Purpose.WORK, method, path, body, timeoutMs, then);
   }
 
-  void state(Purpose purpose, String method, String path, JsonNode body, int timeoutMs, Then then) {
+  public void state(
+      Purpose purpose, String method, String path, JsonNode body, int timeoutMs, Then then) {
     if (mayAsk(purpose, then)) {
       call(Effect.Target.STATE, null, method, path, body, timeoutMs, then);
     }
   }
 
   /** A question for changes, which may be held open. */
-  void watch(Purpose purpose, String path, int timeoutMs, Then then) {
+  public void watch(Purpose purpose, String path, int timeoutMs, Then then) {
     if (mayAsk(purpose, then)) {
       call(Effect.Target.STATE_WATCH, null, "GET", path, null, timeoutMs, then);
     }
@@ -140,19 +145,19 @@
    * Tells who asked that calls were refused here. Not at once: nobody expects an answer while still
    * asking.
    */
-  void settle() {
+  public void settle() {
     List<Then> all = notMade;
     notMade = new ArrayList<>();
     all.forEach(t -> t.on(Outcome.REFUSED, 0, null));
   }
 
   /** A call on which this node's authority rests: it waits for no others. */
-  void authority(String method, String path, JsonNode body, int timeoutMs, Then then) {
+  public void authority(String method, String path, JsonNode body, int timeoutMs, Then then) {
     mayAsk(Purpose.AUTHORITY, then);
     call(Effect.Target.AUTHORITY, null, method, path, body, timeoutMs, then);
   }
 
-  void call(
+  public void call(
       Effect.Target target,
       String addr,
       String method,
@@ -167,23 +172,23 @@
     effects.add(new Effect.Call(id, target, addr, method, path, body, timeoutMs));
   }
 
-  void answer(long exchange, int status, JsonNode body) {
+  public void answer(long exchange, int status, JsonNode body) {
     effects.add(new Effect.Answer(exchange, status, body, 0));
   }
 
-  void refuse(long exchange, int status, int retryAfterS) {
+  public void refuse(long exchange, int status, int retryAfterS) {
     effects.add(new Effect.Answer(exchange, status, null, retryAfterS));
   }
 
-  void toPeers(PeerRecord message) {
+  public void toPeers(PeerRecord message) {
     effects.add(new Effect.ToPeers(message));
   }
 
-  void note(String text) {
+  public void note(String text) {
     effects.add(new Effect.Note(text));
   }
 
-  void reply(Input.Reply r) {
+  public void reply(Input.Reply r) {
     Open open = waiting.remove(r.call());
     if (open != null) {
       if (r.status() == 429 && open.countsRequests && budget != null) {
@@ -195,7 +200,7 @@
     }
   }
 
-  List<Effect> drain() {
+  public List<Effect> drain() {
     List<Effect> out = effects;
     effects = new ArrayList<>();
     return out;
--- a/src/main/java/org/snowturn/core/DarkZones.java
+++ b/src/main/java/org/snowturn/core/decide/DarkZones.java
@@ -1,6 +1,7 @@
-package org.snowturn.core;
+package org.snowturn.core.decide;
 
 import java.util.Arrays;
+import org.snowturn.core.picture.Machine;
 
 /**
  * Whose silence it is when machines are not heard: their own, their zone's, or this node's.
@@ -8,7 +9,7 @@
  * <p>Zones that have fallen silent as a whole while others are heard are cut off: machines hired
  * there would not be heard of either, and those on their way are no help for now.
  */
-final class DarkZones {
+public final class DarkZones {
   /** Fewer silent machines than this may have died one by one. */
   private static final int ENOUGH = 3;
 
@@ -21,7 +22,7 @@
 
   private boolean inReach;
 
-  DarkZones(int zones) {
+  public DarkZones(int zones) {
     dark = new boolean[zones];
     heard = new int[zones];
     silent = new int[zones];
@@ -29,20 +30,20 @@
   }
 
   /** Starts a new count. */
-  void begin() {
+  public void begin() {
     Arrays.fill(heard, 0);
     Arrays.fill(silent, 0);
     Arrays.fill(kept, 0);
   }
 
   /** Counts a machine that has been up. */
-  void count(Machine m, boolean quiet) {
+  public void count(Machine m, boolean quiet) {
     (quiet ? silent : heard)[m.zone]++;
     kept[m.zone] += quiet && !m.deleting ? 1 : 0;
   }
 
   /** Judges by the count; a dark zone stays dark until one of its machines is heard. */
-  void end() {
+  public void end() {
     boolean any = Arrays.stream(heard).anyMatch(n -> n > 0);
     for (int z = 0; z < dark.length; z++) {
       dark[z] = any && heard[z] == 0 && (dark[z] || silent[z] >= ENOUGH);
@@ -59,11 +60,11 @@
    * Whether silence is not this node's own: it hears most machines, or most of some zone. A zone
    * that is cut off may hold more machines than all others together.
    */
-  boolean inReach() {
+  public boolean inReach() {
     return inReach;
   }
 
-  boolean dark(int zone) {
+  public boolean dark(int zone) {
     return dark[zone];
   }
 }
--- a/src/main/java/org/snowturn/core/Fleet.java
+++ b/src/main/java/org/snowturn/core/decide/Fleet.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.decide;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -9,13 +9,23 @@
 import java.util.Map;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.act.Ledger;
+import org.snowturn.core.act.Reports;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Catalog;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.picture.SpotLosses;
 import org.snowturn.wire.CloudMachine;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.MachineType;
 import org.snowturn.wire.MalformedException;
 
 /** Hires, replaces and returns machines, within the cloud's rate. */
-final class Fleet {
+public final class Fleet {
   private static final int TIMEOUT_MS = 5000;
   private static final int MOST_PER_HIRE = 50;
 
@@ -94,7 +104,7 @@
   private long peakAt;
   private long nextMoveAt;
 
-  Fleet(
+  public Fleet(
       Calls calls,
       Settings settings,
       Tunables tunables,
@@ -125,7 +135,7 @@
     this.budget = settings.cloudLimits().rps();
   }
 
-  void tick() {
+  public void tick() {
     long now = calls.now();
     double rate = settings.cloudLimits().rps() * 0.85;
     budget = Math.min(rate * 1.5 + 0.5, budget + rate * (now - filledAt) / 1000.0);
@@ -235,7 +245,7 @@
   }
 
   /** Marks a machine for deletion: when the cloud confirms, all that was on it has ended. */
-  void discard(Machine m, String why) {
+  public void discard(Machine m, String why) {
     if (!m.deleting && !m.gone) {
       calls.note(m.id + " is deleted: " + why);
       m.deleting = true;
--- a/src/main/java/org/snowturn/core/FleetPolicy.java
+++ b/src/main/java/org/snowturn/core/decide/FleetPolicy.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.decide;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -12,7 +12,7 @@
  * for, so that no small change of one figure turns a fleet that follows demand into one that holds
  * everything.
  */
-final class FleetPolicy {
+public final class FleetPolicy {
   /** Above what is needed where the users ask for nothing special. */
   private static final double LEAST = 0.15;
 
@@ -53,12 +53,12 @@
   }
 
   /** The policy that these settings ask for; {@code bootS} is how long the quickest boot takes. */
-  static FleetPolicy of(Settings s, DoubleSupplier bootS) {
+  public static FleetPolicy of(Settings s, DoubleSupplier bootS) {
     return new FleetPolicy(s, bootS);
   }
 
   /** Spare capacity for arrays, as a share of what they need. */
-  double arrayHeadroom() {
+  public double arrayHeadroom() {
     double forStarts = 0;
     for (Settings.Objective o : starts.values()) {
       double sooner = Math.max(0, 1 - o.withinS() / Math.max(1, bootS.getAsDouble()));
@@ -68,12 +68,12 @@
   }
 
   /** Spare capacity for services, as a share of what they need. */
-  double serviceHeadroom() {
+  public double serviceHeadroom() {
     return LEAST;
   }
 
   /** From 0, where capacity follows demand closely, to 1, where all that there is is held. */
-  double plenty() {
+  public double plenty() {
     return Math.min(1, (arrayHeadroom() - LEAST) / (ALL - LEAST));
   }
 }
--- a/src/main/java/org/snowturn/core/Placer.java
+++ b/src/main/java/org/snowturn/core/decide/Placer.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.decide;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,7 +9,14 @@
 import java.util.PriorityQueue;
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.act.Ledger;
+import org.snowturn.core.act.Reports;
 import org.snowturn.core.admission.Floors;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.picture.SpotLosses;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Priority;
 
@@ -17,7 +24,7 @@
  * Decides which waiting task goes where. Constraints are tested against every task that may still
  * be on a machine, so they hold at the instant of the start whatever became of the others.
  */
-final class Placer {
+public final class Placer {
   /** Seconds of preference for machines that the cloud may take back, where a job allows them. */
   private static final double ORDINARY_PENALTY_S = 10;
 
@@ -80,7 +87,7 @@
    * @param mayStop whether work may be stopped to make room: not while free room may be on machines
    *     that a new leader has not heard yet
    */
-  Placer(
+  public Placer(
       Calls calls,
       Settings settings,
       Ledger ledger,
@@ -104,7 +111,7 @@
   }
 
   /** Places what fits; tells whether every waiting task was placed or cannot be placed now. */
-  boolean plan() {
+  public boolean plan() {
     long now = calls.now();
     plenty = policy.plenty();
     List<Machine> usable = new ArrayList<>();
@@ -280,12 +287,12 @@
   }
 
   /** For operators: how the classes of each team are served. */
-  Map<String, Double> gauges() {
+  public Map<String, Double> gauges() {
     return floors.gauges();
   }
 
   /** How many times a machine was looked at for a job so far. */
-  long looks() {
+  public long looks() {
     return looks;
   }
 
@@ -317,7 +324,7 @@
   }
 
   /** Whether the job's constraints allow one more task of it on the machine, room aside. */
-  boolean allowed(Job j, Machine m) {
+  public boolean allowed(Job j, Machine m) {
     JobSpec s = j.spec;
     if (m.spot && !s.spot()) {
       return false;
@@ -342,7 +349,7 @@
   }
 
   /** Seconds, roughly, that the task loses by going there, plus what the choice costs others. */
-  double score(Job j, Machine m) {
+  public double score(Job j, Machine m) {
     JobSpec s = j.spec;
     double score = 0;
     if (!m.images.containsKey(s.image())) {
@@ -395,7 +402,7 @@
   }
 
   /** Whether a replica on {@code from} could start on another machine without a fetch. */
-  boolean couldStartElsewhere(Job j, Machine from) {
+  public boolean couldStartElsewhere(Job j, Machine from) {
     for (Machine m : machines.present()) {
       boolean ready =
           m != from
--- a/src/main/java/org/snowturn/core/Speculator.java
+++ b/src/main/java/org/snowturn/core/decide/Speculator.java
@@ -1,10 +1,22 @@
-package org.snowturn.core;
+package org.snowturn.core.decide;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.act.Ledger;
+import org.snowturn.core.act.Reports;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.picture.RestartRecords;
+import org.snowturn.core.picture.Samples;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.Slot;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.store.Writer;
 import org.snowturn.wire.JobSpec;
 
 /**
@@ -12,7 +24,7 @@
  * fits, the slow task with the longest time to end is stopped and started again, once, on a machine
  * that has shown to be fast enough.
  */
-final class Speculator {
+public final class Speculator {
   /** Slow tasks that are put to the gain test in one consideration, longest time to end first. */
   private static final int MOST_TRIED = 20;
 
@@ -23,10 +35,10 @@
   private final Placer placer;
   private final Writer writer;
   private final FormatGate gate;
-  private final Map<String, Writer.Slot> counters = new HashMap<>();
+  private final Map<String, Slot> counters = new HashMap<>();
   private int restarts;
 
-  Speculator(
+  public Speculator(
       Calls calls,
       Tunables figures,
       Ledger ledger,
@@ -43,16 +55,16 @@
     this.writer = writer;
   }
 
-  int restarts() {
+  public int restarts() {
     return restarts;
   }
 
   /** The counter record of an array as it was read. */
-  void loaded(Job j, long stamp) {
+  public void loaded(Job j, long stamp) {
     slot(j).stamp = stamp;
   }
 
-  private Writer.Slot slot(Job j) {
+  private Slot slot(Job j) {
     return counters.computeIfAbsent(
         j.spec.id(),
         id ->
@@ -64,17 +76,17 @@
   }
 
   /** A running task's running time over the run that is expected of it; above 1: overdue. */
-  static double score(double ran, double expected) {
+  public static double score(double ran, double expected) {
     return ran / expected;
   }
 
   /** Score per second run; an overdue task's is one over its running time. */
-  static double rate(double ran, double expected) {
+  public static double rate(double ran, double expected) {
     return 1 / Math.max(ran, expected);
   }
 
   /** What is left of the expected run; past it, the running time. */
-  static double timeLeft(double ran, double expected) {
+  public static double timeLeft(double ran, double expected) {
     return ran > expected ? ran : expected - ran;
   }
 
@@ -88,7 +100,7 @@
   }
 
   /** Restarts at most one task; called when no waiting task fits and there is room. */
-  void consider() {
+  public void consider() {
     if (!figures.speculation()) {
       return;
     }
--- a/src/main/java/org/snowturn/core/WaitingOrder.java
+++ b/src/main/java/org/snowturn/core/decide/WaitingOrder.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.decide;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.snowturn.config.Settings;
+import org.snowturn.core.picture.Job;
 
 /**
  * In which order waiting jobs get room: by priority, services first, then by what can still be kept
@@ -19,7 +20,7 @@
  * By deadlines alone large late arrays would hold the machines of a burst, and by work alone small
  * arrays with hours to spare would make large ones late.
  */
-final class WaitingOrder {
+public final class WaitingOrder {
   private record Aims(List<Double> startWithinS, List<Double> doneWithinS) {}
 
   private static final Aims NONE = new Aims(List.of(), List.of());
@@ -31,7 +32,7 @@
   private final double urgentMs;
 
   /** Jobs with less than {@code urgentSlackS} to spare are urgent. */
-  WaitingOrder(Settings settings, double urgentSlackS) {
+  public WaitingOrder(Settings settings, double urgentSlackS) {
     urgentMs = urgentSlackS * 1000;
     for (Settings.Objective o : settings.objectives()) {
       Aims a =
@@ -58,7 +59,7 @@
   }
 
   /** The jobs in the order at a time of day. */
-  List<Job> sorted(Collection<Job> jobs, double wall) {
+  public List<Job> sorted(Collection<Job> jobs, double wall) {
     Placed[] all = new Placed[jobs.size()];
     int n = 0;
     for (Job j : jobs) {
@@ -74,7 +75,7 @@
   }
 
   /** 0: little time to spare for some aim; 1: more than that; 2: late for all whatever is done. */
-  int urgency(Job j, double wall) {
+  public int urgency(Job j, double wall) {
     Aims aims = byClass.getOrDefault(j.spec.jobClass(), NONE);
     double end = wall + j.spec.estimateS() * 1000;
     double spare = Math.min(spare(j.dueWall(1) - end), spare(j.dueWall(1.5) - end));
--- a/src/main/java/org/snowturn/core/Catalog.java
+++ b/src/main/java/org/snowturn/core/picture/Catalog.java
@@ -1,15 +1,18 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.calls.Calls;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.MachineType;
 import org.snowturn.wire.MalformedException;
 
 /** The machine types, fetched at start and again now and then for the prices. */
-final class Catalog {
+public final class Catalog {
   private static final long REFRESH_MS = 60_000;
   private static final long RETRY_MS = 1_000;
   private final Calls calls;
@@ -17,24 +20,24 @@
   private long nextAt;
   private boolean asking;
 
-  Catalog(Calls calls) {
+  public Catalog(Calls calls) {
     this.calls = calls;
   }
 
-  boolean known() {
+  public boolean known() {
     return !types.isEmpty();
   }
 
-  Iterable<MachineType> all() {
+  public Iterable<MachineType> all() {
     return types.values();
   }
 
-  MachineType get(String name) {
+  public MachineType get(String name) {
     return types.get(name);
   }
 
   /** How long the type that is up soonest takes; 0 while none is known. */
-  double quickestBootS() {
+  public double quickestBootS() {
     double least = types.isEmpty() ? 0 : Double.MAX_VALUE;
     for (MachineType t : types.values()) {
       least = Math.min(least, t.bootS());
@@ -43,7 +46,7 @@
   }
 
   /** Whether some allowed type, offered in an allowed zone, can hold one task. */
-  boolean canHold(JobSpec s) {
+  public boolean canHold(JobSpec s) {
     for (MachineType t : types.values()) {
       boolean type = s.types() == null || s.types().contains(t.name());
       boolean zone = s.zone() == null || t.zones().isEmpty() || t.zones().contains(s.zone());
@@ -54,7 +57,7 @@
     return false;
   }
 
-  void tick() {
+  public void tick() {
     if (asking || calls.now() < nextAt) {
       return;
     }
--- a/src/main/java/org/snowturn/core/Job.java
+++ b/src/main/java/org/snowturn/core/picture/Job.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -9,6 +9,10 @@
 import java.util.Objects;
 import java.util.Set;
 import org.agrona.collections.Int2IntHashMap;
+import org.snowturn.core.records.Slot;
+import org.snowturn.core.records.Spans;
+import org.snowturn.core.records.StoredJob;
+import org.snowturn.core.records.TaskLayout;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.Priority;
@@ -19,55 +23,55 @@
  * <p>A task is bound while it may be on a machine: from before its placement is written until there
  * is proof that it has ended.
  */
-final class Job {
-  static final byte PENDING = 0;
+public final class Job {
+  public static final byte PENDING = 0;
 
   /** Its placement is being written; no start has been sent. */
-  static final byte PLACING = 1;
+  public static final byte PLACING = 1;
 
   /** Its start may have been sent. */
-  static final byte STARTING = 2;
+  public static final byte STARTING = 2;
 
-  static final byte FETCHING = 3;
-  static final byte RUNNING = 4;
-  static final byte DONE = 5;
+  public static final byte FETCHING = 3;
+  public static final byte RUNNING = 4;
+  public static final byte DONE = 5;
 
   /** No such time; far in the past, but safe to subtract from. */
-  static final long UNKNOWN = Long.MIN_VALUE / 4;
+  public static final long UNKNOWN = Long.MIN_VALUE / 4;
 
   /** A replica that has only just started is left alone. */
   private static final long SETTLED_MS = 40_000;
 
-  final int index;
-  final JobSpec spec;
-  final long submittedWall;
-  final byte[] state;
-  final int[] machine;
-  final long[] attempt;
-  final long[] session;
-  final long[] since;
+  public final int index;
+  public final JobSpec spec;
+  public final long submittedWall;
+  public final byte[] state;
+  public final int[] machine;
+  public final long[] attempt;
+  public final long[] session;
+  public final long[] since;
 
   /** Tasks told to stop. */
-  final BitSet stopping = new BitSet();
+  public final BitSet stopping = new BitSet();
 
   /** Tasks bound by an earlier leader and not yet seen by this one. */
-  final BitSet inherited = new BitSet();
+  public final BitSet inherited = new BitSet();
 
   /** Tasks that were restarted once; counted by the stored record. */
-  final BitSet restarted = new BitSet();
+  public final BitSet restarted = new BitSet();
 
   /** Results not yet known to be durable. */
-  final BitSet resultPending = new BitSet();
+  public final BitSet resultPending = new BitSet();
 
   /** The machine that a restarted task must not go back to. */
-  final Int2IntHashMap avoid = new Int2IntHashMap(-1);
+  public final Int2IntHashMap avoid = new Int2IntHashMap(-1);
 
   /** Which tasks share a record, and the records; another format's are kept until the end. */
-  TaskLayout layout;
+  public TaskLayout layout;
 
-  boolean secondFormat;
-  Writer.Slot[] chunks;
-  final List<Writer.Slot> olderChunks = new ArrayList<>();
+  public boolean secondFormat;
+  public Slot[] chunks;
+  public final List<Slot> olderChunks = new ArrayList<>();
 
   /** What the placements of each record take of its value, and what they may; second format. */
   private int[] recordBytes;
@@ -77,61 +81,61 @@
   /** The most that one placement took so far. */
   private int entryBytes;
 
-  final Samples runTimes = new Samples();
-  final int[] boundInZone;
+  public final Samples runTimes = new Samples();
+  public final int[] boundInZone;
 
   /** How many tasks of a service may be on each machine. */
   private final Int2IntHashMap onMachine = new Int2IntHashMap(0);
 
   /** The jobs that it awaits and that are not known to be durably done. */
-  final Set<String> unmet;
+  public final Set<String> unmet;
 
   /** Names the parts of a record that is longer than a value, or null. */
-  String submission;
+  public String submission;
 
-  int parts;
+  public int parts;
 
   /** The highest priority of the job itself and of all that need it. */
-  Priority priority;
+  public Priority priority;
 
   /** What those that need it leave of their deadlines, and of one and a half times those. */
-  double inheritedDue = Double.MAX_VALUE;
+  public double inheritedDue = Double.MAX_VALUE;
 
-  double inheritedLateDue = Double.MAX_VALUE;
+  public double inheritedLateDue = Double.MAX_VALUE;
 
   /** When the last job that it needs was done; from then on its times count. */
-  long releasedWall;
-
-  long stamp;
-  boolean cancelled;
-  boolean finishing;
-  int pending;
-  int bound;
-  int running;
-  int done;
-  int restarts;
-  long backOffUntil;
+  public long releasedWall;
+
+  public long stamp;
+  public boolean cancelled;
+  public boolean finishing;
+  public int pending;
+  public int bound;
+  public int running;
+  public int done;
+  public int restarts;
+  public long backOffUntil;
 
   /** Room is being made for waiting tasks, so none more is made until then. */
-  long roomUntil = UNKNOWN;
+  public long roomUntil = UNKNOWN;
 
-  int failures;
+  public int failures;
 
   /** When a task was last placed. */
-  long placedWall;
+  public long placedWall;
 
   /** The dense index of its team's class, or -1 until it is known. */
-  int group = -1;
+  public int group = -1;
 
   /** Whether it was let go before others since its group had too little: it keeps what it got. */
-  boolean byFloor;
+  public boolean byFloor;
 
   /** The zone chosen for the whole of a gang, or -1. */
-  int gangZone = -1;
+  public int gangZone = -1;
 
   private int cursor;
 
-  Job(int index, JobSpec spec, long submittedWall, int zones) {
+  public Job(int index, JobSpec spec, long submittedWall, int zones) {
     this.index = index;
     this.spec = spec;
     this.submittedWall = submittedWall;
@@ -150,21 +154,21 @@
   }
 
   /** Starts with records of the first format, as the version in production writes them. */
-  void useFirstFormat(int span) {
+  public void useFirstFormat(int span) {
     layout = TaskLayout.first(state.length, span);
-    chunks = new Writer.Slot[layout.records()];
+    chunks = new Slot[layout.records()];
   }
 
   /** Goes on with records of the second format; those of the first stay until the job is over. */
-  void useSecondFormat(FormatGate.Spans spans, int valueBytes, MachineBook machines) {
+  public void useSecondFormat(Spans spans, int valueBytes, MachineBook machines) {
     if (chunks != null) {
       Arrays.stream(chunks).filter(Objects::nonNull).forEach(olderChunks::add);
     }
     secondFormat = true;
     layout = TaskLayout.second(state.length, spans);
-    chunks = new Writer.Slot[layout.records()];
+    chunks = new Slot[layout.records()];
     recordBytes = new int[layout.records()];
-    recordRoom = TaskRecords.room(valueBytes, layout.piece());
+    recordRoom = TaskLayout.room(valueBytes, layout.piece());
     for (int t = 0; t < state.length; t++) {
       if (isBound(t)) {
         countInRecord(t, machines.get(machine[t]), 1);
@@ -173,7 +177,7 @@
   }
 
   /** Keeps account of how full the records are, so that no placement makes one too long. */
-  void countInRecord(int task, Machine m, int sign) {
+  public void countInRecord(int task, Machine m, int sign) {
     if (secondFormat) {
       int bytes = TaskRecords.bytes(m);
       entryBytes = Math.max(entryBytes, bytes);
@@ -186,27 +190,27 @@
   }
 
   /** Whether it still waits for other jobs, and so has no part in anything yet. */
-  boolean waits() {
+  public boolean waits() {
     return !unmet.isEmpty();
   }
 
   /** Whether it has tasks that could be placed now, room and quota aside. */
-  boolean wantsRoom() {
+  public boolean wantsRoom() {
     return pending > 0 && !cancelled && !waits();
   }
 
-  static long ref(int job, int task) {
+  public static long ref(int job, int task) {
     return ((long) job << 32) | task;
   }
 
   /** Changes a task's state, and the count of running tasks with it. */
-  void enter(int task, byte next) {
+  public void enter(int task, byte next) {
     running += (next == RUNNING ? 1 : 0) - (state[task] == RUNNING ? 1 : 0);
     state[task] = next;
   }
 
   /** Keeps account of a service's tasks by machine. */
-  void countOn(int machineIndex, int sign) {
+  public void countOn(int machineIndex, int sign) {
     if (spec.service()) {
       int n = onMachine.get(machineIndex) + sign;
       if (n == 0) {
@@ -218,18 +222,18 @@
   }
 
   /** How many of a service's tasks may be on the machine. */
-  int on(Machine m) {
+  public int on(Machine m) {
     return onMachine.get(m.index);
   }
 
-  boolean isBound(int task) {
+  public boolean isBound(int task) {
     return state[task] >= PLACING && state[task] <= RUNNING;
   }
 
   /**
    * Whether the task is a replica that may be moved: not just started, and no other of it waits.
    */
-  boolean settled(int task, long now) {
+  public boolean settled(int task, long now) {
     return spec.service()
         && state[task] == RUNNING
         && !stopping.get(task)
@@ -238,7 +242,7 @@
   }
 
   /** A pending task whose record can take its placement, or -1. */
-  int nextPending() {
+  public int nextPending() {
     if (pending == 0) {
       return -1;
     }
@@ -252,12 +256,12 @@
     return -1;
   }
 
-  double median() {
+  public double median() {
     return runTimes.median();
   }
 
   /** The wall-clock time by which it has to be done, or a far time. */
-  double dueWall(double times) {
+  public double dueWall(double times) {
     double own =
         Double.isNaN(spec.deadlineS())
             ? Double.MAX_VALUE
@@ -266,13 +270,13 @@
   }
 
   /** The record that it has once it is cancelled, without what only its starts need. */
-  StoredJob cancelledRecord() {
+  public StoredJob cancelledRecord() {
     return new StoredJob(
         JobView.Phase.ABORTED, submittedWall, spec.withoutStart(), submission, parts, false);
   }
 
   /** The stored form of one of its records. */
-  JsonNode chunkJson(int chunk, MachineBook machines) {
+  public JsonNode chunkJson(int chunk, MachineBook machines) {
     return secondFormat
         ? TaskRecords.second(this, chunk, machines)
         : TaskRecords.first(this, chunk, machines);
--- a/src/main/java/org/snowturn/core/Machine.java
+++ b/src/main/java/org/snowturn/core/picture/Machine.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -9,80 +9,80 @@
 import org.snowturn.wire.Priority;
 
 /** A machine as the leader sees it: its session, what may be on it, and how it has been doing. */
-final class Machine {
-  final int index;
-  final String id;
-  String addr;
-  String type;
-  int zone;
-  boolean spot;
-  MachineType shape;
-
-  long session;
-  long seq = -1;
+public final class Machine {
+  public final int index;
+  public final String id;
+  public String addr;
+  public String type;
+  public int zone;
+  public boolean spot;
+  public MachineType shape;
+
+  public long session;
+  public long seq = -1;
 
   /** The highest session in which everything has certainly ended. */
-  long deadSession = -1;
+  public long deadSession = -1;
 
-  long lastReportAt = Job.UNKNOWN;
+  public long lastReportAt = Job.UNKNOWN;
 
   /** From then on, without another report, the machine may have died: nothing new goes there. */
-  long quietFrom = Job.UNKNOWN;
+  public long quietFrom = Job.UNKNOWN;
 
   /** When a 200 that may have renewed the lease could last have been sent, by any leader. */
-  long lastAnswerAt;
+  public long lastAnswerAt;
 
   /** Whether a report in the current session carried this leader's token. */
-  boolean acknowledged;
+  public boolean acknowledged;
 
-  boolean recorded;
-  boolean recording;
-  boolean gone;
+  public boolean recorded;
+  public boolean recording;
+  public boolean gone;
 
   /** Gone for good: the cloud confirmed it. */
-  boolean deleted;
-
-  boolean deleting;
-  long deleteRetryAt;
-  boolean probing;
-  boolean suspect;
-  boolean sick;
-  boolean returning;
-  long takenAt = Long.MAX_VALUE;
-  long firstSeenAt;
-  long listedAt = Job.UNKNOWN;
-  CloudMachine.State cloudState = CloudMachine.State.STARTING;
-  long blockedUntil;
-  long idleSince;
-  long preemptingUntil;
-
-  double cpusUsed;
-  double gpusUsed;
-  double memoryUsed;
-  final LongHashSet bound = new LongHashSet();
+  public boolean deleted;
+
+  public boolean deleting;
+  public long deleteRetryAt;
+  public boolean probing;
+  public boolean suspect;
+  public boolean sick;
+  public boolean returning;
+  public long takenAt = Long.MAX_VALUE;
+  public long firstSeenAt;
+  public long listedAt = Job.UNKNOWN;
+  public CloudMachine.State cloudState = CloudMachine.State.STARTING;
+  public long blockedUntil;
+  public long idleSince;
+  public long preemptingUntil;
+
+  public double cpusUsed;
+  public double gpusUsed;
+  public double memoryUsed;
+  public final LongHashSet bound = new LongHashSet();
 
   /** Tasks that run there of jobs that are left alone since a record cannot be read. */
-  int unaccounted;
+  public int unaccounted;
 
   /** How many of what is bound there is of each priority. */
   private final int[] boundBy = new int[Priority.values().length];
 
   /** How many of them an earlier leader bound and this one has not seen yet. */
-  int inherited;
+  public int inherited;
 
   /** Images that the machine should have, most recently used last, with their sizes. */
-  final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+  public final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
   /** The page of the roll that it is on, or -1. */
-  int rollPage = -1;
+  public int rollPage = -1;
 
   /** Whether the stored list of images is behind. */
-  boolean imagesChanged;
+  public boolean imagesChanged;
 
-  int errorsInRow;
-  int lastErrorJob = -1;
-  int errorJobs;
-  double workDone;
+  public int errorsInRow;
+  public int lastErrorJob = -1;
+  public int errorJobs;
+  public double workDone;
   private final double[] ratios = new double[32];
   private int ratioCount;
   private double slowness = 1;
@@ -90,16 +90,16 @@
   /**
    * Attempts whose direct start got no answer: it may still arrive, so they are never forgotten.
    */
-  final LongHashSet startsInDoubt = new LongHashSet();
+  public final LongHashSet startsInDoubt = new LongHashSet();
 
-  Outbox outbox;
+  public Commands outbox;
 
-  Machine(int index, String id) {
+  public Machine(int index, String id) {
     this.index = index;
     this.id = id;
   }
 
-  boolean hasRoom(JobSpec s) {
+  public boolean hasRoom(JobSpec s) {
     return shape != null
         && cpusUsed + s.cpus() <= shape.cpus() + 1e-6
         && gpusUsed + s.gpus() <= shape.gpus() + 1e-6
@@ -107,7 +107,7 @@
   }
 
   /** How many tasks of the job fit beside what is there. */
-  int roomFor(JobSpec s) {
+  public int roomFor(JobSpec s) {
     if (shape == null) {
       return 0;
     }
@@ -118,11 +118,11 @@
     return (int) Math.max(0, Math.floor(n));
   }
 
-  double cpusFree() {
+  public double cpusFree() {
     return shape == null ? 0 : shape.cpus() - cpusUsed;
   }
 
-  void use(JobSpec s, int sign) {
+  public void use(JobSpec s, int sign) {
     cpusUsed += sign * s.cpus();
     gpusUsed += sign * s.gpus();
     memoryUsed += sign * s.memoryGb();
@@ -134,12 +134,12 @@
   }
 
   /** A task of this priority has come, or gone. */
-  void count(Priority p, int sign) {
+  public void count(Priority p, int sign) {
     boundBy[p.ordinal()] += sign;
   }
 
   /** How many of the tasks there are of lower priority than this. */
-  int boundBelow(Priority p) {
+  public int boundBelow(Priority p) {
     int n = 0;
     for (int i = p.ordinal() + 1; i < boundBy.length; i++) {
       n += boundBy[i];
@@ -148,7 +148,7 @@
   }
 
   /** Taken for gone because it was neither heard of nor listed, and yet there: starts anew. */
-  void comeBack() {
+  public void comeBack() {
     gone = false;
     acknowledged = false;
     recorded = false;
@@ -157,12 +157,12 @@
   }
 
   /** Whether new work may go there. */
-  boolean usable(long now) {
+  public boolean usable(long now) {
     return whyNotUsable(now) == null;
   }
 
   /** Why no new work may go there, in a word for operators; null if it may. */
-  String whyNotUsable(long now) {
+  public String whyNotUsable(long now) {
     if (gone || deleting || returning) {
       return "leaving";
     }
@@ -190,7 +190,7 @@
     return shape == null || now < blockedUntil ? "blocked" : null;
   }
 
-  void touchImage(String image, double gb) {
+  public void touchImage(String image, double gb) {
     if (images.get(image) != null) {
       return; // and it is the last used one now
     }
@@ -208,14 +208,14 @@
     }
   }
 
-  void finishedWork(double ratio) {
+  public void finishedWork(double ratio) {
     ratios[ratioCount++ % ratios.length] = ratio;
     slowness = Double.NaN;
     workDone += 1;
   }
 
   /** The median of finished run times over their arrays' medians; 1 before there are any. */
-  double slowness() {
+  public double slowness() {
     if (Double.isNaN(slowness)) {
       double[] sorted = java.util.Arrays.copyOf(ratios, Math.min(ratioCount, ratios.length));
       java.util.Arrays.sort(sorted);
--- a/src/main/java/org/snowturn/core/MachineBook.java
+++ b/src/main/java/org/snowturn/core/picture/MachineBook.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,47 +7,47 @@
 import java.util.function.Function;
 
 /** All machines, by name at the door and by dense index inside; likewise the zones. */
-final class MachineBook {
+public final class MachineBook {
   private final Map<String, Integer> byId = new HashMap<>();
   private final List<Machine> all = new ArrayList<>();
   private final List<String> zoneNames;
-  private final Function<Machine, Outbox> outboxes;
+  private final Function<Machine, Commands> outboxes;
   private List<Machine> present;
 
-  MachineBook(List<String> zones, Function<Machine, Outbox> outboxes) {
+  public MachineBook(List<String> zones, Function<Machine, Commands> outboxes) {
     this.zoneNames = List.copyOf(zones);
     this.outboxes = outboxes;
   }
 
   /** The zone's index; all zones that the settings do not name share the last one. */
-  int zone(String name) {
+  public int zone(String name) {
     int i = zoneNames.indexOf(name);
     return i >= 0 ? i : zoneNames.size();
   }
 
-  boolean zoneKnown(int zone) {
+  public boolean zoneKnown(int zone) {
     return zone < zoneNames.size();
   }
 
-  String zoneName(int zone) {
+  public String zoneName(int zone) {
     return zoneKnown(zone) ? zoneNames.get(zone) : "?";
   }
 
   /** How many indices there are, the last one for unknown zones. */
-  int zoneCount() {
+  public int zoneCount() {
     return zoneNames.size() + 1;
   }
 
-  Machine find(String id) {
+  public Machine find(String id) {
     Integer i = byId.get(id);
     return i == null ? null : all.get(i);
   }
 
-  Machine get(int index) {
+  public Machine get(int index) {
     return all.get(index);
   }
 
-  Machine getOrCreate(String id) {
+  public Machine getOrCreate(String id) {
     Machine m = find(id);
     if (m == null) {
       m = new Machine(all.size(), id);
@@ -61,7 +61,7 @@
   }
 
   /** The machines that are not known to be gone: a list that no later change alters. */
-  List<Machine> present() {
+  public List<Machine> present() {
     if (present == null) {
       present = all.stream().filter(m -> !m.gone).toList();
     }
@@ -69,13 +69,13 @@
   }
 
   /** The machine is taken for gone. */
-  void retire(Machine m) {
+  public void retire(Machine m) {
     m.gone = true;
     present = null;
   }
 
   /** The machine was taken for gone, and yet it is there. */
-  void revive(Machine m) {
+  public void revive(Machine m) {
     m.comeBack();
     present = null;
   }
--- a/src/main/java/org/snowturn/core/Quota.java
+++ b/src/main/java/org/snowturn/core/picture/Quota.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -6,7 +6,7 @@
 import org.snowturn.wire.JobSpec;
 
 /** What each team's tasks use, counting every task that may be on a machine. */
-final class Quota {
+public final class Quota {
   private static final double SLACK = 1e-6;
 
   private static final class Use {
@@ -21,29 +21,29 @@
 
   private final Map<String, Use> teams = new HashMap<>();
 
-  Quota(Iterable<Settings.Team> teams) {
+  public Quota(Iterable<Settings.Team> teams) {
     for (Settings.Team t : teams) {
       this.teams.put(t.name(), new Use(t));
     }
   }
 
   /** Whether an amount is above a limit; a limit of 0 means none. */
-  static boolean exceeds(double amount, double limit) {
+  public static boolean exceeds(double amount, double limit) {
     return limit > 0 && amount > limit + SLACK;
   }
 
-  boolean allows(JobSpec s) {
+  public boolean allows(JobSpec s) {
     Use u = teams.get(s.team());
     return u == null
         || !(exceeds(u.cpus + s.cpus(), u.team.cpusMax())
             || exceeds(u.gpus + s.gpus(), u.team.gpusMax()));
   }
 
-  void take(JobSpec s) {
+  public void take(JobSpec s) {
     add(s, 1);
   }
 
-  void give(JobSpec s) {
+  public void give(JobSpec s) {
     add(s, -1);
   }
 
--- a/src/main/java/org/snowturn/core/RestartRecords.java
+++ b/src/main/java/org/snowturn/core/picture/RestartRecords.java
@@ -1,10 +1,11 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Base64;
 import java.util.BitSet;
+import org.snowturn.core.records.Keys;
 import org.snowturn.wire.Json;
 
 /**
@@ -12,13 +13,13 @@
  * for each task up to the last one restarted, which for a large array is more than a value holds;
  * the second lists them.
  */
-final class RestartRecords {
+public final class RestartRecords {
   private static final int FIXED_BYTES = 60;
   private static final int LISTED_BYTES = 7;
 
   private RestartRecords() {}
 
-  static JsonNode json(Job j) {
+  public static JsonNode json(Job j) {
     ObjectNode o = Json.object().put("v", j.secondFormat ? Keys.SECOND : Keys.VERSION);
     o.put("n", j.restarts);
     if (j.secondFormat) {
@@ -31,14 +32,14 @@
   }
 
   /** Reads either format. */
-  static void load(Job j, JsonNode value) {
+  public static void load(Job j, JsonNode value) {
     j.restarted.or(BitSet.valueOf(Base64.getDecoder().decode(value.path("t").asText(""))));
     value.path("r").forEach(t -> j.restarted.set(Math.max(0, t.asInt())));
     j.restarts = value.path("n").asInt(0);
   }
 
   /** Whether a value can hold the record once this task is restarted too. */
-  static boolean fits(Job j, int task, int valueBytes) {
+  public static boolean fits(Job j, int task, int valueBytes) {
     int last = Math.max(task, j.restarted.length());
     int bytes = j.secondFormat ? LISTED_BYTES * (j.restarts + 1) : (last / 8 + 3) / 3 * 4;
     return FIXED_BYTES + bytes <= valueBytes;
--- a/src/main/java/org/snowturn/core/Samples.java
+++ b/src/main/java/org/snowturn/core/picture/Samples.java
@@ -1,14 +1,14 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 import java.util.Arrays;
 
 /** A growing list of numbers without boxing. */
-final class Samples {
+public final class Samples {
   private double[] values = new double[8];
   private int size;
   private double[] sorted;
 
-  void add(double v) {
+  public void add(double v) {
     if (size == values.length) {
       values = Arrays.copyOf(values, size * 2);
     }
@@ -16,24 +16,24 @@
     sorted = null;
   }
 
-  int size() {
+  public int size() {
     return size;
   }
 
-  boolean isEmpty() {
+  public boolean isEmpty() {
     return size == 0;
   }
 
-  double get(int i) {
+  public double get(int i) {
     return values[i];
   }
 
-  double median() {
+  public double median() {
     return percentile(50);
   }
 
   /** The value below which {@code percent} of the numbers lie; NaN if there are none. */
-  double percentile(double percent) {
+  public double percentile(double percent) {
     if (size == 0) {
       return Double.NaN;
     }
--- a/src/main/java/org/snowturn/core/SpotLosses.java
+++ b/src/main/java/org/snowturn/core/picture/SpotLosses.java
@@ -1,27 +1,27 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 /**
  * How often the cloud takes spot machines back, as this leader has seen it; until it has seen
  * enough, once an hour each.
  */
-final class SpotLosses {
+public final class SpotLosses {
   private static final double PRIOR_S = 3600;
 
   private double machineS;
   private double taken;
 
   /** So many spot machines were up for so long. */
-  void up(int machines, double seconds) {
+  public void up(int machines, double seconds) {
     machineS += machines * seconds;
   }
 
   /** One was taken, with notice or without. */
-  void taken() {
+  public void taken() {
     taken++;
   }
 
   /** How many of one machine to expect in a second. */
-  double perSecond() {
+  public double perSecond() {
     return (1 + taken) / (PRIOR_S + machineS);
   }
 }
--- a/src/main/java/org/snowturn/core/TaskRecords.java
+++ b/src/main/java/org/snowturn/core/picture/TaskRecords.java
@@ -1,10 +1,12 @@
-package org.snowturn.core;
+package org.snowturn.core.picture;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Base64;
 import java.util.BitSet;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.TaskLayout;
 import org.snowturn.wire.Json;
 
 /**
@@ -12,34 +14,17 @@
  * placed. The second format numbers tasks from the record's first one and attempts from a common
  * base, so that twice as many fit a value.
  */
-final class TaskRecords {
-  /** A placement in the second format, beside the machine's name: numbers and punctuation. */
-  private static final int ENTRY_BYTES = 28;
-
-  /** What names of machines usually take; longer ones are provided for by {@link #room}. */
-  private static final int USUAL_NAME = 8;
-
-  private static final int FIXED_BYTES = 80;
-  private static final int SHIFT = Ledger.ATTEMPT_BITS;
+public final class TaskRecords {
+  private static final int SHIFT = TaskLayout.ATTEMPT_BITS;
 
   private TaskRecords() {}
 
-  /** How many tasks to a record in the second format. */
-  static int span(int valueBytes) {
-    return Math.max(4, (valueBytes - FIXED_BYTES) / (ENTRY_BYTES + USUAL_NAME + 1));
-  }
-
   /** Bytes that a placement on this machine takes at the most. */
-  static int bytes(Machine m) {
-    return ENTRY_BYTES + Json.bytes(Json.array().add(m.id)).length - 4;
-  }
-
-  /** How many bytes the placements of one record may take together. */
-  static int room(int valueBytes, int span) {
-    return Math.max(ENTRY_BYTES + 200, valueBytes - FIXED_BYTES - span / 6);
+  public static int bytes(Machine m) {
+    return TaskLayout.entryBytes(Json.bytes(Json.array().add(m.id)).length - 4);
   }
 
-  static JsonNode first(Job j, int record, MachineBook machines) {
+  public static JsonNode first(Job j, int record, MachineBook machines) {
     int from = j.layout.from(record);
     ObjectNode o = Json.object().put("v", Keys.VERSION);
     ArrayNode placed = o.putArray("p");
@@ -52,7 +37,7 @@
     return o.put("d", finished(j, record));
   }
 
-  static JsonNode second(Job j, int record, MachineBook machines) {
+  public static JsonNode second(Job j, int record, MachineBook machines) {
     int from = j.layout.from(record);
     long base = Long.MAX_VALUE;
     for (int t = from; t < j.layout.to(record); t++) {
@@ -87,7 +72,7 @@
   }
 
   /** What a record tells of its tasks. */
-  interface Reader {
+  public interface Reader {
     void done(int task);
 
     void placed(int task, long attempt, String machine, long session);
@@ -98,7 +83,7 @@
    *
    * @throws IllegalArgumentException if it cannot be read; some of it may have been told by then
    */
-  static void read(JsonNode value, int from, Reader to) {
+  public static void read(JsonNode value, int from, Reader to) {
     if (!value.isObject()) {
       throw new IllegalArgumentException("not an object");
     }
--- a/src/main/java/org/snowturn/core/Relays.java
+++ b/src/main/java/org/snowturn/core/reach/Relays.java
@@ -1,11 +1,14 @@
-package org.snowturn.core;
+package org.snowturn.core.reach;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.PeerRecord;
 import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.calls.Calls;
 import org.snowturn.wire.Json;
 
 /**
@@ -15,7 +18,7 @@
  * <p>What a peer does not answer stays unknown, as if the state service had not answered; only what
  * the peer says was not executed counts as refused.
  */
-final class Relays {
+public final class Relays {
   /** Longer ones do not fit a record that the version before this one would skip. */
   private static final int MOST_BYTES = 3_000;
 
@@ -36,7 +39,8 @@
    *
    * @param ownLink whether the state service answers this node
    */
-  Relays(Settings settings, Calls calls, Surroundings surroundings, BooleanSupplier ownLink) {
+  public Relays(
+      Settings settings, Calls calls, Surroundings surroundings, BooleanSupplier ownLink) {
     this.settings = settings;
     this.calls = calls;
     this.surroundings = surroundings;
@@ -44,17 +48,17 @@
   }
 
   /** Whether the state service answers this node itself. */
-  boolean direct() {
+  public boolean direct() {
     return ownLink.getAsBoolean();
   }
 
   /** Whether there is any way to the state service. */
-  boolean possible() {
+  public boolean possible() {
     return ownLink.getAsBoolean() || surroundings.peerWithState() != null;
   }
 
   /** One call to the state service, whichever way. */
-  void state(
+  public void state(
       Purpose purpose, String method, String path, JsonNode body, int timeoutMs, Calls.Then then) {
     String peer = ownLink.getAsBoolean() ? null : surroundings.peerWithState();
     if (peer == null) {
@@ -81,7 +85,7 @@
   }
 
   /** A peer asks: for this node only, and not handed on any further. */
-  void asked(PeerRecord.Relay r) {
+  public void asked(PeerRecord.Relay r) {
     if (!r.to().equals(settings.node())) {
       return;
     }
@@ -109,14 +113,14 @@
   }
 
   /** A peer answers. */
-  void answered(PeerRecord.Relayed r) {
+  public void answered(PeerRecord.Relayed r) {
     if (r.to().equals(settings.node())) {
       answer(r.seq(), r.outcome(), r.status(), r.body());
     }
   }
 
   /** How many calls went through a peer. */
-  long relayed() {
+  public long relayed() {
     return relayed;
   }
 }
--- a/src/main/java/org/snowturn/core/Surroundings.java
+++ b/src/main/java/org/snowturn/core/reach/Surroundings.java
@@ -1,21 +1,24 @@
-package org.snowturn.core;
+package org.snowturn.core.reach;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.snowturn.config.Settings;
-import org.snowturn.core.reach.Reach;
-import org.snowturn.core.reach.ReachMatrix;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.PeerRecord;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Job;
 
 /**
  * What this node reaches, and what its peers say that they reach. A node that does not lead hears
  * workers only when they look for a leader, so the leader names a few of them, which the others ask
  * now and then whether they answer.
  */
-final class Surroundings {
+public final class Surroundings {
   /** What goes round in a sample, and how often. */
-  static final int SAMPLE = 6;
+  public static final int SAMPLE = 6;
 
   private static final long SAMPLE_EVERY_MS = 3_000;
   private static final long TELL_MS = 300;
@@ -39,19 +42,19 @@
    *
    * @param stateOkAt when the last request that the state service answered was sent
    */
-  Surroundings(Settings settings, Calls calls, LongSupplier stateOkAt) {
+  public Surroundings(Settings settings, Calls calls, LongSupplier stateOkAt) {
     this.settings = settings;
     this.calls = calls;
     this.stateOkAt = stateOkAt;
   }
 
   /** A worker has reported here, or answered this node. */
-  void workerHeard() {
+  public void workerHeard() {
     workersAt = calls.now();
   }
 
   /** What this node reaches. */
-  Reach mine() {
+  public Reach mine() {
     return new Reach(age(stateOkAt.getAsLong()), age(workersAt));
   }
 
@@ -60,22 +63,22 @@
   }
 
   /** Whether a peer could serve where this node cannot. */
-  boolean betterElsewhere() {
+  public boolean betterElsewhere() {
     return matrix.better(mine(), calls.now());
   }
 
   /** The same, or nobody tells, so that it is as good as any other guess. */
-  boolean otherMayServe() {
+  public boolean otherMayServe() {
     return betterElsewhere() || !matrix.known(calls.now());
   }
 
   /** A peer that the state service answers, or null. */
-  String peerWithState() {
+  public String peerWithState() {
     return matrix.withState(calls.now());
   }
 
   /** Looks and tells; {@code workers} are some that a leader hears, empty on other nodes. */
-  void tick(boolean leading, List<String> workers) {
+  public void tick(boolean leading, List<String> workers) {
     long now = calls.now();
     if (leading && !workers.isEmpty() && now >= sampleAt) {
       sampleAt = now + SAMPLE_EVERY_MS;
@@ -110,17 +113,17 @@
   }
 
   /** Whether it is time for a leader to name workers. */
-  boolean wantsSample() {
+  public boolean wantsSample() {
     return calls.now() >= sampleAt;
   }
 
-  void told(PeerRecord.Reaches r) {
+  public void told(PeerRecord.Reaches r) {
     if (isPeer(r.from()) && matrix.told(r.from(), r.reach(), calls.now())) {
       calls.note(r.from() + " reaches " + words(r.reach()));
     }
   }
 
-  void told(PeerRecord.Sample s) {
+  public void told(PeerRecord.Sample s) {
     if (isPeer(s.from())) {
       sample = s.workers().size() <= SAMPLE ? s.workers() : s.workers().subList(0, SAMPLE);
     }
@@ -138,7 +141,7 @@
   }
 
   /** For each node, 1 where it reaches the state service and 1 where it reaches workers. */
-  Map<String, Double> gauges() {
+  public Map<String, Double> gauges() {
     Map<String, Double> g = new HashMap<>();
     matrix.rows(calls.now()).forEach((node, reach) -> put(g, node, reach));
     put(g, settings.node(), mine());
--- a/src/main/java/org/snowturn/core/Recent.java
+++ b/src/main/java/org/snowturn/core/records/Recent.java
@@ -1,13 +1,13 @@
-package org.snowturn.core;
+package org.snowturn.core.records;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** Remembers a bounded number of things, those used last. */
-final class Recent<K, V> extends LinkedHashMap<K, V> {
+public final class Recent<K, V> extends LinkedHashMap<K, V> {
   private final int most;
 
-  Recent(int most) {
+  public Recent(int most) {
     super(64, 0.75f, true);
     this.most = most;
   }
--- a/src/main/java/org/snowturn/core/StoredJob.java
+++ b/src/main/java/org/snowturn/core/records/StoredJob.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -25,7 +25,7 @@
  * @param parts how many there are
  * @param whole whether {@code spec} is the whole submission
  */
-record StoredJob(
+public record StoredJob(
     JobView.Phase phase,
     long submittedWall,
     JobSpec spec,
@@ -35,11 +35,11 @@
   private static final int FIXED_BYTES = 40;
   private static final int NAME_BYTES = 16;
 
-  StoredJob(JobView.Phase phase, long submittedWall, JobSpec spec) {
+  public StoredJob(JobView.Phase phase, long submittedWall, JobSpec spec) {
     this(phase, submittedWall, spec, null, 0, true);
   }
 
-  static StoredJob parse(JsonNode v) throws MalformedException {
+  public static StoredJob parse(JsonNode v) throws MalformedException {
     JobView.Phase phase =
         switch (v.path("p").asText()) {
           case "done" -> JobView.Phase.DONE;
@@ -58,7 +58,7 @@
   }
 
   /** Whether the record forbids any change of phase. */
-  static JobView.Phase phaseOf(JsonNode v) {
+  public static JobView.Phase phaseOf(JsonNode v) {
     String p = v.path("p").asText();
     return p.equals("done")
         ? JobView.Phase.DONE
@@ -66,30 +66,30 @@
   }
 
   /** Whether a live or short record is that of a service; older short records do not tell. */
-  static boolean service(JsonNode v) {
+  public static boolean service(JsonNode v) {
     return v.path("service").asBoolean(false)
         || v.path("s").path("shape").asText().equals("service");
   }
 
   /** Whether the parts have to be read before the job can be started. */
-  boolean incomplete() {
+  public boolean incomplete() {
     return !whole && phase == JobView.Phase.QUEUED;
   }
 
-  static List<String> partKeys(String id, String submission, int parts) {
+  public static List<String> partKeys(String id, String submission, int parts) {
     return submission == null
         ? List.of()
         : IntStream.range(0, parts).mapToObj(i -> Keys.parts(id, submission) + i).toList();
   }
 
   /** The texts of stored parts, by their keys. */
-  static Map<String, String> texts(List<StateMessage.Entry> entries) {
+  public static Map<String, String> texts(List<StateMessage.Entry> entries) {
     Map<String, String> out = new HashMap<>();
     entries.forEach(e -> out.put(e.key(), e.value().path("x").asText("")));
     return out;
   }
 
-  ObjectNode live() {
+  public ObjectNode live() {
     ObjectNode o = Json.object();
     o.put("v", submission == null ? Keys.VERSION : Keys.SECOND);
     o.put("p", phase.wire()).put("at", submittedWall);
@@ -101,12 +101,12 @@
   }
 
   /** The same with the submission elsewhere. */
-  StoredJob inParts(String name, int count) {
+  public StoredJob inParts(String name, int count) {
     return new StoredJob(phase, submittedWall, spec.withoutStart(), name, count, false);
   }
 
   /** Puts the whole submission in place of what the record holds of it. */
-  StoredJob withParts(String id, Map<String, String> texts) throws MalformedException {
+  public StoredJob withParts(String id, Map<String, String> texts) throws MalformedException {
     StringBuilder text = new StringBuilder();
     for (String key : partKeys(id, submission, parts)) {
       text.append(texts.getOrDefault(key, ""));
@@ -120,7 +120,7 @@
   }
 
   /** The record of a job that is cancelled; what only starts need goes if a value is too short. */
-  static ObjectNode cancelled(JsonNode live, int valueBytes) {
+  public static ObjectNode cancelled(JsonNode live, int valueBytes) {
     ObjectNode o = live.deepCopy();
     o.put("p", JobView.Phase.ABORTED.wire());
     if (Json.bytes(o).length > valueBytes) {
@@ -134,14 +134,14 @@
   }
 
   /** The short record that remains of a job that is over. */
-  static ObjectNode over(JobView.Phase phase, JobSpec spec) {
+  public static ObjectNode over(JobView.Phase phase, JobSpec spec) {
     ObjectNode o = Json.object().put("v", Keys.VERSION).put("p", phase.wire());
     o.put("n", spec.tasks());
     return spec.service() ? o.put("service", true) : o;
   }
 
   /** A name for the parts of a text, cut to this size: the same for the same. */
-  static String nameOf(String text, int valueBytes) {
+  public static String nameOf(String text, int valueBytes) {
     try {
       MessageDigest digest = MessageDigest.getInstance("SHA-256");
       byte[] hash = digest.digest(Json.bytes(Json.array().add(text).add(valueBytes)));
@@ -152,7 +152,7 @@
   }
 
   /** Cuts a text into parts, each of which a value can hold. */
-  static List<ObjectNode> cut(String text, int valueBytes) {
+  public static List<ObjectNode> cut(String text, int valueBytes) {
     List<ObjectNode> out = new ArrayList<>();
     int from = 0;
     while (from < text.length()) {
--- a/src/main/java/org/snowturn/core/FormatGate.java
+++ b/src/main/java/org/snowturn/core/store/FormatGate.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -6,7 +6,12 @@
 import java.util.List;
 import java.util.Set;
 import org.snowturn.config.Settings;
+import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.Spans;
+import org.snowturn.core.records.TaskLayout;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
@@ -22,7 +27,7 @@
  * <p>The gate's record keeps the spans of both formats: results are numbered by them, so neither
  * may follow later settings.
  */
-final class FormatGate {
+public final class FormatGate {
   private static final long LOOK_MS = 1_000;
   private static final long RETRY_MS = 200;
   private static final int TIMEOUT_MS = 1_500;
@@ -39,26 +44,23 @@
   private final List<Runnable> waiting = new ArrayList<>();
   private Spans spans;
 
-  /** How many tasks share a record: in the first format, and at most in the second. */
-  record Spans(int first, int second) {}
-
-  FormatGate(Settings settings, Calls calls) {
+  public FormatGate(Settings settings, Calls calls) {
     this.settings = settings;
     this.calls = calls;
     int first = Math.max(8, settings.stateLimits().valueBytes() / FIRST_BYTES);
-    spans = new Spans(first, TaskRecords.span(least().valueBytes()));
+    spans = new Spans(first, TaskLayout.span(least().valueBytes()));
   }
 
-  boolean open() {
+  public boolean open() {
     return open;
   }
 
-  Spans spans() {
+  public Spans spans() {
     return spans;
   }
 
   /** The limits that writes have to keep now: once the gate is open, the smaller of both. */
-  Settings.StateLimits limits() {
+  public Settings.StateLimits limits() {
     return open ? least() : settings.stateLimits();
   }
 
@@ -66,7 +68,7 @@
     return settings.stateLimits().least(settings.nextStateLimits());
   }
 
-  void tick() {
+  public void tick() {
     boolean wanted = !waiting.isEmpty() || !open;
     if (wanted && !busy && calls.now() >= lookAt) {
       look();
@@ -74,7 +76,7 @@
   }
 
   /** Looks how far the nodes are, and goes on once that is known. */
-  void look(Runnable then) {
+  public void look(Runnable then) {
     if (open) {
       then.run();
       return;
@@ -160,7 +162,10 @@
 
   private void write() {
     JsonNode value =
-        Json.object().put("v", Keys.SECOND).put("first", spans.first).put("second", spans.second);
+        Json.object()
+            .put("v", Keys.SECOND)
+            .put("first", spans.first())
+            .put("second", spans.second());
     put(
         Keys.GATE,
         value,
@@ -187,8 +192,8 @@
     if (open) {
       return;
     }
-    int first = gate.path("first").asInt(spans.first);
-    spans = new Spans(Math.max(1, first), Math.max(1, gate.path("second").asInt(spans.second)));
+    int first = gate.path("first").asInt(spans.first());
+    spans = new Spans(Math.max(1, first), Math.max(1, gate.path("second").asInt(spans.second())));
     open = true;
     calls.note("the gate is open: all nodes read format " + Keys.SECOND);
   }
--- a/src/main/java/org/snowturn/core/JobFinder.java
+++ b/src/main/java/org/snowturn/core/store/JobFinder.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.store;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -6,7 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.StoredJob;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
@@ -17,16 +21,16 @@
  * take thousands of requests. Records only move from live to over, so live ones are read first;
  * only the leader, who moves them, may begin with the others, where most are that it does not know.
  */
-final class JobFinder {
-  static final List<String> LIVE_FIRST = List.of(Keys.JOBS, Keys.OVER);
-  static final List<String> OVER_FIRST = List.of(Keys.OVER, Keys.JOBS);
+public final class JobFinder {
+  public static final List<String> LIVE_FIRST = List.of(Keys.JOBS, Keys.OVER);
+  public static final List<String> OVER_FIRST = List.of(Keys.OVER, Keys.JOBS);
 
   private static final int ONE_BY_ONE = 12;
   private static final int PAGE = 500;
   private static final int TIMEOUT_MS = 1_500;
 
   /** What a record tells: whether it is live, the job's phase, and whether it is a service. */
-  record Fact(boolean live, JobView.Phase phase, boolean service) {
+  public record Fact(boolean live, JobView.Phase phase, boolean service) {
     private static Fact of(StateMessage.Entry e) {
       boolean live = e.key().startsWith(Keys.JOBS);
       return new Fact(live, StoredJob.phaseOf(e.value()), StoredJob.service(e.value()));
@@ -34,7 +38,7 @@
   }
 
   /** Takes what was found; all there is only if the state service told everything. */
-  interface Then {
+  public interface Then {
     void on(Map<String, Fact> found, boolean complete);
   }
 
@@ -54,7 +58,7 @@
    * @param purpose what the reads are for
    * @param withinMs the time after which nobody wants to know any more
    */
-  static void find(
+  public static void find(
       Calls calls,
       Purpose purpose,
       List<String> order,
--- a/src/main/java/org/snowturn/core/Loader.java
+++ b/src/main/java/org/snowturn/core/store/Loader.java
@@ -1,10 +1,12 @@
-package org.snowturn.core;
+package org.snowturn.core.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.calls.Calls;
 import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
@@ -13,12 +15,12 @@
  * Reads whole ranges of the state service, page by page, until it has them. What fails is tried
  * again ever later: at once, a refusal (429, 503) would become a loop at the network's speed.
  */
-final class Loader {
-  static final int TIMEOUT_MS = 2_500;
+public final class Loader {
+  public static final int TIMEOUT_MS = 2_500;
   private static final int PAGE = 500;
 
   /** Asks for the page after {@code since}; null: the first. */
-  static String pagePath(String prefix, String since) {
+  public static String pagePath(String prefix, String since) {
     return "/kv?prefix=" + prefix + "&most=" + PAGE + (since == null ? "" : "&since=" + since);
   }
 
@@ -31,16 +33,16 @@
    *
    * @param over whether nobody wants to know any more: nothing is tried again then
    */
-  Loader(Calls calls, BooleanSupplier over) {
+  public Loader(Calls calls, BooleanSupplier over) {
     this.over = over;
     this.calls = calls;
     this.backoff = calls.backoff();
   }
 
   /** All keys of a range; {@code epoch} is the oldest revision that any page showed. */
-  record Range(List<StateMessage.Entry> entries, long epoch) {}
+  public record Range(List<StateMessage.Entry> entries, long epoch) {}
 
-  void read(String prefix, Consumer<Range> then) {
+  public void read(String prefix, Consumer<Range> then) {
     page(prefix, null, new ArrayList<>(), Long.MAX_VALUE, then);
   }
 
--- a/src/main/java/org/snowturn/core/Writer.java
+++ b/src/main/java/org/snowturn/core/store/Writer.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
@@ -13,7 +13,11 @@
 import java.util.function.DoubleUnaryOperator;
 import java.util.function.Supplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Meter;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.Slot;
 import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
@@ -28,9 +32,9 @@
  * is executed late, after this leader has lost its place or has written the key again, changes
  * nothing. A reply that never came is settled by reading.
  */
-final class Writer {
+public final class Writer {
   /** Slots of this urgency or more can wait a while. */
-  static final int CAN_WAIT = 20;
+  public static final int CAN_WAIT = 20;
 
   /** The share of the budget that is kept for slots that cannot wait. */
   private static final double KEPT = 0.4;
@@ -48,28 +52,8 @@
   private static final int IN_FLIGHT = 3;
   private static final int MAX_BYTES = 40_000;
 
-  /** One key that the leader writes. */
-  static final class Slot {
-    final String key;
-    final Supplier<JsonNode> content;
-    final Supplier<Condition> guard;
-    long stamp;
-    boolean dirty;
-    boolean inFlight;
-    int urgency = Integer.MAX_VALUE;
-    long since;
-    List<Runnable> onDurable = new ArrayList<>();
-
-    private Slot(String key, long stamp, Supplier<JsonNode> content, Supplier<Condition> guard) {
-      this.key = key;
-      this.stamp = stamp;
-      this.content = content;
-      this.guard = guard;
-    }
-  }
-
   /** When a whole transaction's turn comes. */
-  enum Turn {
+  public enum Turn {
     /** Before all others: somebody has been told that it will happen soon. */
     FIRST,
     /** Before all slots. */
@@ -82,7 +66,7 @@
   private record Special(Turn turn, List<Condition> when, List<Change> apply, Calls.Then then) {}
 
   /** What the writer needs of the leader. */
-  interface Host {
+  public interface Host {
     boolean hasAuthority();
 
     /** Whether the term is over for good. */
@@ -122,7 +106,8 @@
    * @param limits may become smaller at any time
    * @param share of so many changes a second for all, those that this leader may make now
    */
-  Writer(Calls calls, Host host, Supplier<Settings.StateLimits> limits, DoubleUnaryOperator share) {
+  public Writer(
+      Calls calls, Host host, Supplier<Settings.StateLimits> limits, DoubleUnaryOperator share) {
     this.share = share;
     this.calls = calls;
     this.host = host;
@@ -139,17 +124,17 @@
     return share.applyAsDouble(limits.get().writeRps());
   }
 
-  Slot slot(String key, long stamp, Supplier<JsonNode> content, Supplier<Condition> guard) {
+  public Slot slot(String key, long stamp, Supplier<JsonNode> content, Supplier<Condition> guard) {
     return slots.computeIfAbsent(key, k -> new Slot(k, stamp, content, guard));
   }
 
-  void forget(Slot s) {
+  public void forget(Slot s) {
     unqueue(s);
     slots.remove(s.key);
   }
 
   /** Asks for the slot's content to be written; smaller urgencies go first. */
-  void mark(Slot s, int urgency, Runnable onDurable) {
+  public void mark(Slot s, int urgency, Runnable onDurable) {
     if (onDurable != null) {
       s.onDurable.add(onDurable);
     }
@@ -163,12 +148,12 @@
   }
 
   /** Queues one whole transaction; the leader key's condition is added. */
-  void whole(Turn turn, List<Condition> when, List<Change> apply, Calls.Then then) {
+  public void whole(Turn turn, List<Condition> when, List<Change> apply, Calls.Then then) {
     specials.get(turn).add(new Special(turn, when, apply, then));
   }
 
   /** Takes a slot out of the queue: its content is about to be removed. */
-  void clear(Slot s) {
+  public void clear(Slot s) {
     unqueue(s);
     s.onDurable.clear();
   }
@@ -186,7 +171,7 @@
   }
 
   /** Whether what cannot wait is queueing up. */
-  boolean pressed() {
+  public boolean pressed() {
     return specials.get(Turn.NEXT).size() > 1 || (budget < rate() * KEPT && urgentWaits());
   }
 
@@ -195,11 +180,11 @@
   }
 
   /** Changes a second that this term has made lately. */
-  double spent() {
+  public double spent() {
     return spent.perSecond(calls.now());
   }
 
-  int waiting() {
+  public int waiting() {
     int n = 0;
     for (var q : dirty.values()) {
       n += q.size();
@@ -207,7 +192,7 @@
     return n;
   }
 
-  void flush() {
+  public void flush() {
     long now = calls.now();
     double rate = rate();
     budget = Math.min(rate, budget + rate * (now - filledAt) / 1000.0);
--- a/src/main/java/org/snowturn/core/Leader.java
+++ b/src/main/java/org/snowturn/core/term/Leader.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.term;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,15 +9,44 @@
 import java.util.function.DoubleUnaryOperator;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.PeerRecord;
+import org.snowturn.core.act.JobGraph;
+import org.snowturn.core.act.Ledger;
+import org.snowturn.core.act.MachineRoll;
+import org.snowturn.core.act.Outbox;
+import org.snowturn.core.act.Reports;
 import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.authority.Election;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.decide.DarkZones;
+import org.snowturn.core.decide.Fleet;
+import org.snowturn.core.decide.FleetPolicy;
+import org.snowturn.core.decide.Placer;
+import org.snowturn.core.decide.Speculator;
+import org.snowturn.core.decide.WaitingOrder;
+import org.snowturn.core.picture.Catalog;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.picture.Quota;
+import org.snowturn.core.picture.RestartRecords;
+import org.snowturn.core.picture.SpotLosses;
 import org.snowturn.core.reach.Hearing;
+import org.snowturn.core.reach.Surroundings;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.StoredJob;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.store.Loader;
+import org.snowturn.core.store.Writer;
+import org.snowturn.core.users.UserDesk;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Report;
 import org.snowturn.wire.StateMessage;
 
 /** One term of leadership: all that the leader knows and does under one token. */
-final class Leader implements Writer.Host, Outbox.Host {
+public final class Leader implements Writer.Host, Outbox.Host {
   private static final long SWEEP_MS = 250;
   private static final long PROGRESS_MS = 1000;
   private static final long SUMMARY_MS = 10_000;
@@ -62,7 +91,7 @@
   private long summaryAt;
   private long specAt;
 
-  Leader(
+  public Leader(
       Calls calls,
       Settings settings,
       Tunables tunables,
@@ -130,7 +159,7 @@
   }
 
   /** Nothing of this term may act any more. */
-  void end() {
+  public void end() {
     ended = true;
   }
 
@@ -169,7 +198,7 @@
   }
 
   /** Addresses of some machines that are heard, from all over the fleet. */
-  List<String> someWorkers(int most) {
+  public List<String> someWorkers(int most) {
     List<String> out = new ArrayList<>();
     List<Machine> all = machines.present();
     int step = Math.max(1, all.size() / (2 * most));
@@ -183,11 +212,11 @@
   }
 
   /** How many changes a second this term has written lately. */
-  double changesMade() {
+  public double changesMade() {
     return writer.spent();
   }
 
-  Map<String, Double> gauges() {
+  public Map<String, Double> gauges() {
     Map<String, Double> g = new HashMap<>();
     int pending = 0;
     int bound = 0;
@@ -298,7 +327,7 @@
 
   // --- machines ---
 
-  void checkIn(long exchange, Report r) {
+  public void checkIn(long exchange, Report r) {
     if (!hasAuthority()) {
       calls.refuse(exchange, 503, 0);
       return;
@@ -492,7 +521,7 @@
 
   // --- the loop ---
 
-  void tick() {
+  public void tick() {
     if (ended) {
       return;
     }
@@ -537,7 +566,7 @@
   }
 
   /** Sends what has been decided. */
-  void flush() {
+  public void flush() {
     if (ended) {
       return;
     }
--- a/src/main/java/org/snowturn/core/Takeover.java
+++ b/src/main/java/org/snowturn/core/term/Takeover.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.term;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -10,9 +10,21 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.snowturn.config.Settings;
+import org.snowturn.core.act.Ledger;
+import org.snowturn.core.act.MachineRoll;
+import org.snowturn.core.act.Reports;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Catalog;
+import org.snowturn.core.picture.Job;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.StoredJob;
 import org.snowturn.core.recovery.Phase;
 import org.snowturn.core.recovery.Phases;
 import org.snowturn.core.recovery.Questions;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.store.Loader;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Report;
@@ -23,7 +35,7 @@
  * machines what of it is still so, a few at a time and the most useful first. It never holds back a
  * decision: whatever machine has shown the token may get work while others are still to be asked.
  */
-final class Takeover {
+public final class Takeover {
   /** After a question without an answer, the same machine is asked again so much later. */
   private static final long AGAIN_MS = 500;
 
@@ -82,7 +94,7 @@
    * @param restarts takes a job's id and its stored counter of restarts
    * @param ended whether the term is over: nothing more is to be done
    */
-  Takeover(
+  public Takeover(
       Calls calls,
       Settings settings,
       Catalog catalog,
@@ -107,16 +119,16 @@
   }
 
   /** Whether all records are known, so that decisions may be made. */
-  boolean loaded() {
+  public boolean loaded() {
     return phases.reached(Phase.ASKING);
   }
 
-  Phase phase() {
+  public Phase phase() {
     return phases.now();
   }
 
   /** The revision from which on changes of jobs are to be watched. */
-  long watchFrom() {
+  public long watchFrom() {
     return watchFrom;
   }
 
@@ -129,7 +141,7 @@
    * are read side by side. Users' records go on changing: parts of submissions are read before the
    * jobs, so that no accepted job lacks its parts.
    */
-  void begin(Consumer<Map<Machine, Report>> then) {
+  public void begin(Consumer<Map<Machine, Report>> then) {
     this.then = then;
     enter(Phase.READING);
     // First of all the gate: it tells in which format the records are that are to be written.
@@ -168,7 +180,7 @@
   }
 
   /** Keeps the newest report of a machine until the records are known. */
-  void keep(Machine m, Report r) {
+  public void keep(Machine m, Report r) {
     Report before = early.get(m);
     boolean older =
         before != null
@@ -386,14 +398,14 @@
    * then what seems to be all the room there is may be a fiftieth of it: a replica that waits must
    * not cost the work of tasks on the few machines that were first to answer.
    */
-  boolean mostHeard() {
+  public boolean mostHeard() {
     return phases.reached(Phase.SQUARED)
         || (loaded()
             && (questions.unheard() * MOST <= toAsk || calls.now() - askingSince > HEARD_MS));
   }
 
   /** The machine has shown itself, and whether it knows the present token. */
-  void heard(Machine m) {
+  public void heard(Machine m) {
     heardAt = calls.now();
     if (!loaded()) {
       return;
@@ -412,7 +424,7 @@
    * the same time: else this node is cut off, and once it no longer is, the machines that are a
    * little later than others would be taken for dead.
    */
-  void unanswered(Machine m) {
+  public void unanswered(Machine m) {
     boolean othersHeard = calls.now() - heardAt < OTHERS_HEARD_MS;
     questions.unanswered(m.index, calls.now(), othersHeard);
   }
@@ -421,16 +433,16 @@
    * Whether the machine's silence counts: it was asked again and again and did not answer, while
    * this node kept up with its work. Whose silence it is, others judge.
    */
-  boolean askedInVain(Machine m) {
+  public boolean askedInVain(Machine m) {
     return calls.now() - lateAt >= STEADY_MS && questions.inVain(m.index, IN_VAIN_MS, calls.now());
   }
 
   /** Whether the machine may turn out to be silent: it has left a question unanswered. */
-  boolean doubtful(Machine m) {
+  public boolean doubtful(Machine m) {
     return questions.unansweredOnce(m.index);
   }
 
-  void tick() {
+  public void tick() {
     long now = calls.now();
     if (now - tickedAt > LATE_TICK_MS) {
       lateAt = now;
@@ -452,7 +464,7 @@
   }
 
   /** Machines that have ended or are about to be deleted need not be asked. */
-  void sweep() {
+  public void sweep() {
     for (Machine m : machines.present()) {
       if (m.deleting) {
         questions.drop(m.index);
@@ -464,7 +476,7 @@
     return phases.enter(p, calls.now());
   }
 
-  Map<String, Double> gauges() {
+  public Map<String, Double> gauges() {
     return Map.of(
         "snowturn.term.phase", (double) phases.now().ordinal(),
         "snowturn.term.unheard", (double) questions.unheard(),
--- a/src/main/java/org/snowturn/core/LivePicture.java
+++ b/src/main/java/org/snowturn/core/users/LivePicture.java
@@ -1,13 +1,19 @@
-package org.snowturn.core;
+package org.snowturn.core.users;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import org.snowturn.config.Settings;
+import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Purpose;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Job;
 import org.snowturn.core.picture.LiveJobs;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.StoredJob;
 import org.snowturn.core.recovery.Backoff;
+import org.snowturn.core.store.Loader;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.StateMessage;
@@ -17,7 +23,7 @@
  * changes since, sent after all who wait for it have asked, answers them all. So polls cost the
  * state service nothing apiece; what it is asked grows with time and with changes.
  */
-final class LivePicture {
+public final class LivePicture {
   /** Of the state service's requests, the proofs of all nodes together take no more than this. */
   private static final double MOST_OF_RATE = 0.15;
 
@@ -48,7 +54,7 @@
   private long proofs;
   private long loads;
 
-  LivePicture(Settings settings, Calls calls) {
+  public LivePicture(Settings settings, Calls calls) {
     this.calls = calls;
     this.backoff = calls.backoff(LEAST_EVERY_MS, 1_000);
     int nodes = settings.peers().size() + 1;
@@ -57,12 +63,12 @@
   }
 
   /** Whether there is a picture that can be proven fresh by one question. */
-  boolean known() {
+  public boolean known() {
     return jobs.known();
   }
 
   /** A live job, as of the last proof; null if there was none of this name. */
-  LiveJobs.Seen get(String id) {
+  public LiveJobs.Seen get(String id) {
     return jobs.get(id);
   }
 
@@ -71,7 +77,7 @@
    * when this was called, {@code unknown} if that could not be found out in the time that a user
    * waits.
    */
-  void whenFresh(Runnable fresh, Runnable unknown) {
+  public void whenFresh(Runnable fresh, Runnable unknown) {
     if (waiting.size() >= MOST_WAITING) {
       unknown.run();
       return;
@@ -80,7 +86,7 @@
     step();
   }
 
-  void tick() {
+  public void tick() {
     while (!waiting.isEmpty() && waiting.peek().until <= calls.now()) {
       waiting.poll().unknown.run();
     }
@@ -181,22 +187,22 @@
   }
 
   /** How many questions proved the picture, or tried to. */
-  long proofs() {
+  public long proofs() {
     return proofs;
   }
 
   /** How many times the whole was read. */
-  long loads() {
+  public long loads() {
     return loads;
   }
 
   /** How many live jobs it holds. */
-  int size() {
+  public int size() {
     return jobs.size();
   }
 
   /** How many wait for a proof. */
-  int waiting() {
+  public int waiting() {
     return waiting.size();
   }
 }
--- a/src/main/java/org/snowturn/core/UserDesk.java
+++ b/src/main/java/org/snowturn/core/users/UserDesk.java
@@ -1,4 +1,4 @@
-package org.snowturn.core;
+package org.snowturn.core.users;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -9,9 +9,20 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.PeerRecord;
 import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.admission.SubmitGate;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.Catalog;
 import org.snowturn.core.picture.LiveJobs;
+import org.snowturn.core.picture.Quota;
+import org.snowturn.core.reach.Relays;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.records.Recent;
+import org.snowturn.core.records.StoredJob;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.store.JobFinder;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.Json;
@@ -25,7 +36,7 @@
  * conditional transaction, a poll reads. What a user has been told is therefore durable, and no
  * node can know less. Only the counts, which are for display, come from the leader.
  */
-final class UserDesk {
+public final class UserDesk {
   private static final int TIMEOUT_MS = 1800;
 
   /** Users wait five seconds; what was found is remembered for their next try. */
@@ -47,7 +58,7 @@
 
   private final Map<String, PeerRecord.Progress> progress = new Recent<>(5_000);
 
-  UserDesk(
+  public UserDesk(
       Settings settings,
       Calls calls,
       Catalog catalog,
@@ -66,7 +77,7 @@
     this.catalog = catalog;
   }
 
-  void progress(PeerRecord.Progress p) {
+  public void progress(PeerRecord.Progress p) {
     progress.put(p.job(), p);
   }
 
@@ -91,7 +102,7 @@
     calls.refuse(exchange, 503, gate.retryAfterS(calls.now()));
   }
 
-  void submit(long exchange, JobSpec spec) {
+  public void submit(long exchange, JobSpec spec) {
     if (refusedForNow(exchange)) {
       return;
     }
@@ -337,7 +348,7 @@
     return null;
   }
 
-  void poll(long exchange, String id) {
+  public void poll(long exchange, String id) {
     if (!over.containsKey(id) && refusedForNow(exchange)) {
       return;
     }
@@ -470,7 +481,7 @@
         });
   }
 
-  void cancel(long exchange, String id) {
+  public void cancel(long exchange, String id) {
     JobView known = over.get(id);
     if (known != null) {
       calls.answer(exchange, 200, known.brief());
--- a/src/test/java/org/snowturn/LayersTest.java
+++ b/src/test/java/org/snowturn/LayersTest.java
@@ -6,6 +6,10 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Which package may know which. */
@@ -65,4 +69,63 @@
   void packagesHaveNoCycles() {
     slices().matching("org.snowturn.(*)..").should().beFreeOfCycles().check(classes);
   }
+
+  /** What a package of the core may know, beside itself and the core's inputs and effects. */
+  private static final Map<String, Set<String>> CORE =
+      Map.ofEntries(
+          Map.entry("recovery", Set.of()),
+          Map.entry("admission", Set.of()),
+          Map.entry("records", Set.of()),
+          Map.entry("calls", Set.of("admission", "recovery")),
+          Map.entry("picture", Set.of("calls", "records")),
+          Map.entry("store", Set.of("calls", "records", "admission", "recovery")),
+          Map.entry("reach", Set.of("calls", "admission")),
+          Map.entry("authority", Set.of("calls", "records", "admission", "recovery")),
+          Map.entry("act", Set.of("calls", "records", "store", "picture", "recovery", "admission")),
+          Map.entry("decide", Set.of("calls", "records", "store", "picture", "act", "admission")),
+          Map.entry(
+              "users",
+              Set.of("calls", "records", "store", "picture", "reach", "admission", "recovery")));
+
+  /** A term holds everything together, and the controller the terms. */
+  private static final Set<String> ABOVE = Set.of("term");
+
+  @Test
+  void insideTheCoreWhatKnowsDoesNotDecideAndWhatDecidesDoesNotLead() {
+    Set<String> all = new TreeSet<>(CORE.keySet());
+    all.addAll(ABOVE);
+    for (var e : CORE.entrySet()) {
+      Set<String> others = new TreeSet<>(all);
+      others.remove(e.getKey());
+      others.removeAll(e.getValue());
+      noClasses()
+          .that()
+          .resideInAPackage("org.snowturn.core." + e.getKey() + "..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              others.stream().map(p -> "org.snowturn.core." + p + "..").toArray(String[]::new))
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("org.snowturn.core.Controller")
+          .check(classes);
+    }
+    slices().matching("org.snowturn.core.(*)..").should().beFreeOfCycles().check(classes);
+  }
+
+  @Test
+  void theCoreIsEnteredByItsDoorOnly() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackage("org.snowturn.core..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            Stream.concat(CORE.keySet().stream(), ABOVE.stream())
+                // what peers tell each other is made of these
+                .filter(p -> !p.equals("admission") && !p.equals("reach"))
+                .map(p -> "org.snowturn.core." + p + "..")
+                .toArray(String[]::new))
+        .check(classes);
+  }
 }
--- a/src/test/java/org/snowturn/core/FleetPolicyTest.java
+++ b/src/test/java/org/snowturn/core/FleetPolicyTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.snowturn.config.Settings;
+import org.snowturn.core.decide.FleetPolicy;
 
 /** What decides between holding all capacity and following demand, and that nothing tips it. */
 class FleetPolicyTest {
--- a/src/test/java/org/snowturn/core/PartsCleanupTest.java
+++ b/src/test/java/org/snowturn/core/PartsCleanupTest.java
@@ -7,6 +7,13 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.snowturn.config.Settings;
+import org.snowturn.core.act.Ledger;
+import org.snowturn.core.calls.Calls;
+import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.picture.Quota;
+import org.snowturn.core.records.Keys;
+import org.snowturn.core.store.FormatGate;
+import org.snowturn.core.store.Writer;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.StateMessage;
 
--- a/src/test/java/org/snowturn/core/SpeculatorTest.java
+++ b/src/test/java/org/snowturn/core/SpeculatorTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.snowturn.core.decide.Speculator;
+import org.snowturn.core.picture.Machine;
+import org.snowturn.core.picture.Samples;
 
 /** The figures of DESIGN-snowturn.md: score, rate, time left, percentile. */
 class SpeculatorTest {
--- a/src/test/java/org/snowturn/core/WaitingOrderTest.java
+++ b/src/test/java/org/snowturn/core/WaitingOrderTest.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.snowturn.config.Settings;
+import org.snowturn.core.decide.WaitingOrder;
+import org.snowturn.core.picture.Job;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Json;
 
