The stand-in world moves to a source set of its own, with copies of sites and their limits

Users and workers of the world turn to an Endpoint, of which the simulated node is one kind. The checker keeps the started tasks of a job instead of walking all machines at each start; the stand-in state service keeps its last changes only, as the protocol says; the stand-in cloud's list comes in pages. Copies of sites can raise the limits.

--- a/src/test/java/org/snowturn/days/Days.java
+++ b/src/lab/java/org/snowturn/days/Days.java
@@ -24,7 +24,7 @@
     mixinStandardHelpOptions = true,
     subcommands = {Days.Copy.class, Days.Draw.class, Days.Judge.class},
     description = "Copies of deployments, days drawn from their troubles, and a look at reports.")
-final class Days {
+public final class Days {
   private static final int BAD_INPUT = 2;
 
   @Command(name = "copy", description = "Writes a copy of a site of another size.")
@@ -38,6 +38,14 @@
     @Option(names = "--size", description = "Machines, first jobs and arrivals so many times.")
     private double size = 1;
 
+    @Option(
+        names = "--limits",
+        description = "Controllers, state service and cloud may do so many times as much.")
+    private double limits = 1;
+
+    @Option(names = "--duration", description = "Seconds a day; the site's own if not given.")
+    private Double duration;
+
     @Option(names = "--restart", description = "Processes are back after so many seconds.")
     private Double restart;
 
@@ -51,6 +59,12 @@
     public Integer call() throws IOException, SiteFile.BadInput {
       SiteFile site = SiteFile.read(from);
       site.grow(size);
+      if (limits != 1) {
+        site.raise(limits);
+      }
+      if (duration != null) {
+        site.lasts(duration);
+      }
       if (restart != null) {
         site.restartAfter(restart);
       }
@@ -168,12 +182,17 @@
     }
   }
 
-  private Days() {}
+  /** Its options are read by the command line. */
+  public Days() {}
 
   /** Runs a command line; the exit status is 2 for what the caller got wrong. */
   static int run(String... args) {
-    return new CommandLine(new Days())
-        .setExecutionExceptionHandler(
+    return handled(new CommandLine(new Days())).execute(args);
+  }
+
+  /** Tells of what the caller got wrong in one line, with status 2. */
+  public static CommandLine handled(CommandLine command) {
+    return command.setExecutionExceptionHandler(
             (e, line, parsed) -> {
               boolean callers = e instanceof SiteFile.BadInput || e instanceof IOException;
               if (!callers) {
@@ -181,8 +200,7 @@
               }
               line.getErr().println("days: " + e.getMessage());
               return BAD_INPUT;
-            })
-        .execute(args);
+            });
   }
 
   public static void main(String[] args) {
--- a/src/test/java/org/snowturn/days/SiteFile.java
+++ b/src/lab/java/org/snowturn/days/SiteFile.java
@@ -100,6 +100,41 @@
     }
   }
 
+  /**
+   * What the controllers, the state service and the cloud may do, so many times; of its core a
+   * controller gets no more than all.
+   */
+  void raise(double times) throws BadInput {
+    if (!(times >= 1) || times > 100) {
+      throw new BadInput("--limits: " + times + " is not between 1 and 100");
+    }
+    multiply("nodes", "cpu_share", times);
+    multiply("nodes", "memory_mb", times);
+    multiply("nodes", "max_connections", times);
+    multiply("state", "rps", times);
+    multiply("state", "write_rps", times);
+    multiply("cloud", "rps", times);
+    ObjectNode nodes = (ObjectNode) root.path("nodes");
+    nodes.put("cpu_share", Math.min(1, nodes.path("cpu_share").asDouble(1)));
+  }
+
+  private void multiply(String table, String field, double times) {
+    if (root.path(table).path(field).isIntegralNumber()) {
+      ((ObjectNode) root.path(table))
+          .put(field, Math.round(root.path(table).path(field).asDouble() * times));
+    } else if (root.path(table).path(field).isNumber()) {
+      ((ObjectNode) root.path(table)).put(field, root.path(table).path(field).asDouble() * times);
+    }
+  }
+
+  /** So long a day, for copies that are too large to be played for longer. */
+  void lasts(double seconds) throws BadInput {
+    if (!(seconds > 0)) {
+      throw new BadInput("--duration: " + seconds + " s is no time");
+    }
+    root.put("duration_s", seconds);
+  }
+
   /** A process that ends is back after this time. */
   void restartAfter(double seconds) throws BadInput {
     if (!(seconds >= 0)) {
--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/Lab.java
@@ -0,0 +1,20 @@
+package org.snowturn.lab;
+
+import org.snowturn.days.Days;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Developers' tools: scale runs, tables of their results, copies and draws of deployments. */
+@Command(
+    name = "snowturn-lab",
+    mixinStandardHelpOptions = true,
+    subcommands = {Days.class},
+    description = "Scale runs of real controllers, their tables, and days of one's own.")
+public final class Lab {
+  private Lab() {}
+
+  /** Exit status 2 stands for what the caller got wrong, in one line. */
+  public static void main(String[] args) {
+    System.exit(Days.handled(new CommandLine(new Lab())).execute(args));
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/Endpoint.java
@@ -0,0 +1,26 @@
+package org.snowturn.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.LongFunction;
+import org.snowturn.core.Input;
+
+/** A controller as users and workers see it: a name, and requests that may never be answered. */
+abstract class Endpoint {
+  final String name;
+  boolean up;
+
+  Endpoint(String name) {
+    this.name = name;
+  }
+
+  /** Takes a user's request; the function makes the input from the exchange's number. */
+  abstract void request(String from, LongFunction<Input> input, Answer answer);
+
+  /** Takes a worker's report. */
+  abstract void checkIn(String from, JsonNode report, Answer answer);
+
+  /** Takes the answer to a request; status 0 stands for a connection that was refused. */
+  interface Answer {
+    void on(int status, JsonNode body);
+  }
+}
--- a/src/test/java/org/snowturn/sim/Rules.java
+++ b/src/lab/java/org/snowturn/sim/Rules.java
@@ -24,6 +24,14 @@
   /** Longer than the time between two ticks of a node. */
   private static final long JUST_NOW_MS = 100;
 
+  /** A task that was started on a machine, and may have left it since. */
+  private record Started(StandInWorker on, StandInWorker.Task task) {
+    boolean present() {
+      return task.present && on.has(task);
+    }
+  }
+
+  private final Map<String, List<Started>> started = new HashMap<>();
   private final World world;
   private long nextLookAt;
   private World.Node leader;
@@ -51,17 +59,15 @@
     world.users.started(t.job);
     int[] sameZone = {0};
     int[] otherZone = {0};
-    for (StandInWorker other : world.workers.values()) {
-      for (StandInWorker.Task o : other.tasks.values()) {
-        if (!o.present || o == t || !o.job.equals(t.job)) {
-          continue;
-        }
-        if (o.index == t.index) {
-          broke("ran_twice", t.name() + " on " + w.rented.id + " and " + other.rented.id);
-        }
-        (other.rented.zone.equals(w.rented.zone) ? sameZone : otherZone)[0]++;
+    List<Started> ofJob = started.computeIfAbsent(t.job, k -> new ArrayList<>());
+    ofJob.removeIf(s -> !s.present());
+    for (Started s : ofJob) {
+      if (s.task.index == t.index) {
+        broke("ran_twice", t.name() + " on " + w.rented.id + " and " + s.on.rented.id);
       }
+      (s.on.rented.zone.equals(w.rented.zone) ? sameZone : otherZone)[0]++;
     }
+    ofJob.add(new Started(w, t));
     if ((w.rented.spot && !spec.spot())
         || (spec.zone() != null && !spec.zone().equals(w.rented.zone))
         || (spec.spread() && sameZone[0] + 1 > spec.perZoneLimit())
@@ -202,8 +208,8 @@
         && w.rented.goneAt == Long.MAX_VALUE
         && (s.spot() || !w.rented.spot)
         && (s.zone() == null || s.zone().equals(w.rented.zone))
-        && taken.getOrDefault(w, 0) + s.cpus() <= StandInCloud.CPUS
-        && taken.getOrDefault(w, 0) + s.memoryGb() / 4 <= StandInCloud.MEMORY / 4;
+        && taken.getOrDefault(w, 0) + s.cpus() <= w.world.sizes.cpus()
+        && taken.getOrDefault(w, 0) + s.memoryGb() / 4 <= w.world.sizes.memoryGb() / 4;
   }
 
   /**
--- a/src/test/java/org/snowturn/sim/StandInCloud.java
+++ b/src/lab/java/org/snowturn/sim/StandInCloud.java
@@ -15,8 +15,7 @@
 
 /** The cloud: a catalog of one type, capacity per zone, a list that lags, lost replies. */
 final class StandInCloud {
-  static final double CPUS = 8;
-  static final double MEMORY = 32;
+  private static final int MOST_LISTED = 500;
 
   /** What the cloud knows of a machine. */
   static final class Rented {
@@ -61,14 +60,14 @@
       }
       back.on(Outcome.ANSWERED, 200, Json.object());
     } else {
-      back.on(Outcome.ANSWERED, 200, list());
+      back.on(Outcome.ANSWERED, 200, list(c.path()));
     }
   }
 
   private JsonNode catalog() {
     ObjectNode o = Json.object();
     ObjectNode t = o.putArray("hulls").addObject();
-    t.put("label", "t8").put("cores", CPUS).put("cards", 0).put("ram_gb", MEMORY);
+    t.put("label", "t8").put("cores", world.sizes.cpus()).put("cards", 0).put("ram_gb", world.sizes.memoryGb());
     t.put("local_gb", 20).put("pull_gb_per_s", 1.0).put("hourly", 1.0).put("market_price", 0.3);
     t.put("ready_s", bootMs / 1000.0);
     ArrayNode zones = t.putArray("fields");
@@ -144,16 +143,22 @@
     world.after(30_000, () -> r.failed = true);
   }
 
-  private JsonNode list() {
+  private JsonNode list(String path) {
+    Map<String, String> q = StandInState.query(path);
+    int most = Integer.parseInt(q.getOrDefault("most", "" + MOST_LISTED));
     long asOf = world.now - listLagMs;
     ObjectNode o = Json.object().put("truncated", false);
     ArrayNode a = o.putArray("drifts");
-    for (Rented r : machines.values()) {
+    for (Rented r : machines.tailMap(q.getOrDefault("since", ""), false).values()) {
       if (r.at > asOf || r.goneAt <= asOf) {
         continue;
       }
+      if (a.size() == most) {
+        o.put("truncated", true);
+        break;
+      }
       ObjectNode n = a.addObject();
-      n.put("id", r.id).put("addr", r.id + ":1").put("hull", "t8").put("field", r.zone);
+      n.put("id", r.id).put("addr", world.sizes.addresses().apply(r.id)).put("hull", "t8").put("field", r.zone);
       n.put("loaners", r.spot).put("held_s", (asOf - r.at) / 1000.0);
       n.put("phase", r.failed ? "failed" : r.worker == null ? "starting" : "running");
     }
--- a/src/test/java/org/snowturn/sim/StandInState.java
+++ b/src/lab/java/org/snowturn/sim/StandInState.java
@@ -31,7 +31,11 @@
     long until;
   }
 
+  /** A watch from before so many changes has to begin anew. */
+  private static final int CHANGES_KEPT = 10_000;
+
   private final World world;
+  private long forgottenUpTo;
   private final TreeMap<String, Value> kv = new TreeMap<>();
   private final Map<Long, Lease> leases = new HashMap<>();
   private final List<Change> history = new ArrayList<>();
@@ -192,6 +196,25 @@
       kv.put(key, new Value(json, epoch, lease));
     }
     history.add(new Change(epoch, key, json));
+    if (history.size() > 2 * CHANGES_KEPT) {
+      forgottenUpTo = history.get(CHANGES_KEPT - 1).stamp;
+      history.subList(0, CHANGES_KEPT).clear();
+    }
+  }
+
+  /** The index of the first kept change after a revision; changes are kept in their order. */
+  private int firstAfter(long stamp) {
+    int low = 0;
+    int high = history.size();
+    while (low < high) {
+      int middle = (low + high) >>> 1;
+      if (history.get(middle).stamp <= stamp) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    return low;
   }
 
   private void wake() {
@@ -283,8 +306,11 @@
     back.on(Outcome.ANSWERED, 200, body);
   }
 
-  private static Map<String, String> query(String path) {
+  static Map<String, String> query(String path) {
     Map<String, String> q = new HashMap<>();
+    if (path.indexOf('?') < 0) {
+      return q;
+    }
     for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
       int eq = part.indexOf('=');
       q.put(part.substring(0, eq), part.substring(eq + 1));
@@ -297,13 +323,13 @@
     ObjectNode o = Json.object().put("epoch", epoch);
     ArrayNode entries = o.putArray("entries");
     boolean more = false;
-    for (Map.Entry<String, Value> e : kv.tailMap(q.get("prefix")).entrySet()) {
+    String since = q.getOrDefault("since", "");
+    boolean fromPrefix = since.compareTo(q.get("prefix")) < 0;
+    var entriesLeft = fromPrefix ? kv.tailMap(q.get("prefix"), true) : kv.tailMap(since, false);
+    for (Map.Entry<String, Value> e : entriesLeft.entrySet()) {
       if (!e.getKey().startsWith(q.get("prefix"))) {
         break;
       }
-      if (q.containsKey("since") && e.getKey().compareTo(q.get("since")) <= 0) {
-        continue;
-      }
       if (entries.size() == most) {
         more = true;
         break;
@@ -321,8 +347,12 @@
     ObjectNode o = Json.object().put("epoch", epoch);
     ArrayNode news = o.putArray("news");
     long since = Long.parseLong(q.get("since"));
-    for (Change h : history) {
-      if (h.stamp > since && h.key.startsWith(q.get("prefix"))) {
+    if (since < forgottenUpTo) {
+      back.on(Outcome.ANSWERED, 410, Json.object().put("epoch", epoch));
+      return;
+    }
+    for (Change h : history.subList(firstAfter(since), history.size())) {
+      if (h.key.startsWith(q.get("prefix"))) {
         ObjectNode n = news.addObject().put("stamp", h.stamp);
         if (h.json == null) {
           n.put("drop", h.key);
--- a/src/test/java/org/snowturn/sim/StandInWorker.java
+++ b/src/lab/java/org/snowturn/sim/StandInWorker.java
@@ -8,12 +8,9 @@
 import java.util.Map;
 import java.util.Set;
 import org.snowturn.config.Settings;
-import org.snowturn.core.Input;
 import org.snowturn.core.Outcome;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Json;
-import org.snowturn.wire.MalformedException;
-import org.snowturn.wire.Report;
 
 /** A worker as PROTOCOL describes it. */
 final class StandInWorker {
@@ -63,7 +60,7 @@
   StandInWorker(World world, StandInCloud.Rented rented) {
     this.world = world;
     this.rented = rented;
-    this.addr = rented.id + ":1";
+    this.addr = world.sizes.addresses().apply(rented.id);
   }
 
   private Settings.Workers figures() {
@@ -72,7 +69,7 @@
 
   void boot() {
     leaseFrom = world.now;
-    at = world.random.nextInt(world.nodes.size());
+    at = world.random.nextInt(world.endpoints.size());
     watchLease();
     world.state.runningOn(rented.id).forEach(this::resume);
     report();
@@ -98,6 +95,11 @@
     return t;
   }
 
+  /** Whether the task is still on this machine, whatever its state. */
+  boolean has(Task t) {
+    return tasks.get(t.job + "/" + t.index + "#" + t.attempt) == t;
+  }
+
   /** The machine is back at once under its name and address, and knows nothing. */
   void reboot() {
     tasks.clear();
@@ -122,7 +124,7 @@
       session++;
       leaseFrom = world.now;
     }
-    world.after(50, this::watchLease);
+    world.after(world.sizes.leaseCheckMs(), this::watchLease);
   }
 
   private ObjectNode body() {
@@ -153,21 +155,16 @@
     }
     reporting = true;
     changed = false;
-    World.Node node = world.nodes.get(at);
+    Endpoint node = world.endpoints.get(at);
     long sentAt = world.now;
     long inSession = session;
     long mine = ++generation;
-    Report r;
-    try {
-      r = Report.parse(body());
-    } catch (MalformedException e) {
-      throw new IllegalStateException(e);
-    }
+    ObjectNode report = body();
     Runnable arrive =
         () ->
-            node.request(
+            node.checkIn(
                 addr,
-                x -> new Input.CheckIn(x, r),
+                report,
                 (status, reply) -> {
                   if (mine == generation && !dead && !hung) {
                     generation++;
@@ -176,7 +173,7 @@
                   }
                 });
     world.after(world.slowReportsMs, () -> world.send(addr, node.name, arrive));
-    world.copyLater(addr, r);
+    world.copyLater(addr, report);
     world.after(
         4000,
         () -> {
@@ -189,15 +186,15 @@
   }
 
   private void next(long ms) {
-    at = (at + 1) % world.nodes.size();
+    at = (at + 1) % world.endpoints.size();
     reportAfter(ms);
   }
 
   private void answered(int status, JsonNode reply, long sentAt, long inSession) {
     if (status == 421 && reply != null && reply.has("steward")) {
       String name = reply.path("steward").asText();
-      for (int i = 0; i < world.nodes.size(); i++) {
-        if (world.nodes.get(i).name.equals(name) && i != at) {
+      for (int i = 0; i < world.endpoints.size(); i++) {
+        if (world.endpoints.get(i).name.equals(name) && i != at) {
           at = i;
           reportAfter(world.random.nextInt(500));
           return;
@@ -313,7 +310,7 @@
       exit(t, "no_such");
     } else if (twice) {
       exit(t, "busy");
-    } else if (cpus + spec.cpus() > StandInCloud.CPUS) {
+    } else if (cpus + spec.cpus() > world.sizes.cpus()) {
       exit(t, "full");
     } else {
       long inSession = session;
--- a/src/test/java/org/snowturn/sim/Users.java
+++ b/src/lab/java/org/snowturn/sim/Users.java
@@ -171,7 +171,7 @@
     String id = m.spec.id();
     boolean calledOff = m.terminal == null && !m.spec.service() && world.random.nextInt(8) == 0;
     for (int i = 0; i < CLOSE_LOOKS; i++) {
-      World.Node n = world.nodes.get(i % world.nodes.size());
+      Endpoint n = world.endpoints.get(i % world.endpoints.size());
       int kind = i == 4 && calledOff ? 2 : world.random.nextInt(3) / 2;
       world.after(
           world.random.nextInt((int) WITHIN_MS),
@@ -280,17 +280,17 @@
     trySubmit(m);
   }
 
-  private World.Node anyNode() {
+  private Endpoint anyNode() {
     // The load balancer tries another node where one refuses the connection.
-    List<World.Node> up = world.nodes.stream().filter(n -> n.up).toList();
-    List<World.Node> among = up.isEmpty() ? world.nodes : up;
+    List<Endpoint> up = world.endpoints.stream().filter(n -> n.up).toList();
+    List<Endpoint> among = up.isEmpty() ? world.endpoints : up;
     return among.get(world.random.nextInt(among.size()));
   }
 
   private void ask(
-      World.Node node,
+      Endpoint node,
       java.util.function.LongFunction<Input> input,
-      World.Answer answer,
+      Endpoint.Answer answer,
       Runnable again) {
     boolean[] over = {false};
     node.request(
@@ -316,7 +316,7 @@
     trySubmit(anyNode(), m, () -> world.after(1000, () -> trySubmit(m)));
   }
 
-  private void trySubmit(World.Node node, Mine m, Runnable again) {
+  private void trySubmit(Endpoint node, Mine m, Runnable again) {
     long askedAt = world.now;
     ask(
         node,
@@ -353,8 +353,11 @@
   }
 
   private void poll(Mine m) {
+    if (m.terminal != null && !world.sizes.pollsWhenOver()) {
+      return;
+    }
     world.after(
-        world.jitter(1500),
+        world.jitter(world.sizes.pollMs()),
         () -> {
           pollOnce(m.spec.id());
           poll(m);
@@ -365,7 +368,7 @@
     poll(anyNode(), id);
   }
 
-  private void poll(World.Node node, String id) {
+  private void poll(Endpoint node, String id) {
     long askedAt = world.now;
     ask(
         node,
--- a/src/test/java/org/snowturn/sim/World.java
+++ b/src/lab/java/org/snowturn/sim/World.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.LongFunction;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.core.Controller;
@@ -17,6 +18,7 @@
 import org.snowturn.core.Input;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
+import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Report;
 
 /**
@@ -44,6 +46,10 @@
   final StandInCloud cloud = new StandInCloud(this);
   final Users users = new Users(this);
   final List<Node> nodes = new ArrayList<>();
+
+  /** The controllers that users and workers turn to: the nodes, or processes of their own. */
+  final List<Endpoint> endpoints = new ArrayList<>();
+
   final Map<String, StandInWorker> workers = new LinkedHashMap<>();
   final Tunables tunables;
   final Set<String> sabotage = new HashSet<>();
@@ -90,6 +96,9 @@
   /** Calls to the state service that went through a peer and were answered. */
   int relayed;
 
+  /** Figures of the machines and of the users' habits. */
+  Sizes sizes = Sizes.SMALL;
+
   World(long seed, Settings[] settings, Tunables tunables) {
     this.random = new Random(seed);
     this.settings = settings;
@@ -98,6 +107,16 @@
     for (Settings s : settings) {
       nodes.add(new Node(s));
     }
+    endpoints.addAll(nodes);
+  }
+
+  /** A world in real time, whose controllers are processes of their own: see {@link RealTime}. */
+  static World ofProcesses(long seed, Settings[] settings, Sizes sizes) {
+    World w = new World(seed, settings, Tunables.defaults());
+    w.nodes.clear();
+    w.endpoints.clear();
+    w.sizes = sizes;
+    return w;
   }
 
   void after(long ms, Runnable run) {
@@ -114,6 +133,19 @@
     now = end;
   }
 
+  /** Runs what is due by now in real time; the rules are looked at by whoever drives it. */
+  void runDue(long realNow) {
+    now = Math.max(now, realNow);
+    while (!events.isEmpty() && events.peek().at <= now) {
+      events.poll().run.run();
+    }
+  }
+
+  /** Milliseconds until the next event, at most so many. */
+  long idleMs(long most) {
+    return events.isEmpty() ? most : Math.max(0, Math.min(most, events.peek().at - now));
+  }
+
   long jitter(long ms) {
     return ms + random.nextInt((int) Math.max(1, ms));
   }
@@ -198,18 +230,15 @@
   }
 
   /** The copy's answer reaches nobody. */
-  void copyLater(String addr, Report r) {
+  void copyLater(String addr, JsonNode report) {
     if (keeping) {
-      kept.add(
-          () ->
-              nodes.forEach(
-                  n -> n.request(addr, x -> new Input.CheckIn(x, r), (status, body) -> {})));
+      kept.add(() -> endpoints.forEach(n -> n.checkIn(addr, report, (status, body) -> {})));
     }
     if (copiesMs > 0) {
-      Node any = nodes.get(random.nextInt(nodes.size()));
+      Endpoint any = endpoints.get(random.nextInt(endpoints.size()));
       after(
           500 + random.nextInt((int) copiesMs),
-          () -> any.request(addr, x -> new Input.CheckIn(x, r), (status, body) -> {}));
+          () -> any.checkIn(addr, report, (status, body) -> {}));
     }
   }
 
@@ -250,11 +279,9 @@
   }
 
   /** One controller: the real core, its calls and its life. */
-  final class Node {
+  final class Node extends Endpoint {
     final Settings settings;
-    final String name;
     Controller core;
-    boolean up;
     boolean paused;
     private int life;
     private final List<Input> backlog = new ArrayList<>();
@@ -262,8 +289,8 @@
     private long nextExchange = 1;
 
     Node(Settings settings) {
+      super(settings.node());
       this.settings = settings;
-      this.name = settings.node();
     }
 
     void start() {
@@ -418,8 +445,19 @@
       };
     }
 
-    /** A request from outside; the answer may never come. */
-    void request(String from, java.util.function.LongFunction<Input> input, Answer answer) {
+    @Override
+    void checkIn(String from, JsonNode report, Answer answer) {
+      Report r;
+      try {
+        r = Report.parse(report);
+      } catch (MalformedException e) {
+        throw new IllegalStateException(e);
+      }
+      request(from, x -> new Input.CheckIn(x, r), answer);
+    }
+
+    @Override
+    void request(String from, LongFunction<Input> input, Answer answer) {
       if (up) {
         long id = nextExchange++;
         exchanges.put(id, new Exchange(from, answer));
@@ -431,18 +469,13 @@
     }
   }
 
-  private record Exchange(String from, Answer answer) {}
+  private record Exchange(String from, Endpoint.Answer answer) {}
 
   /** Takes the reply to a call. */
   interface Reply {
     void on(Outcome outcome, int status, JsonNode body);
   }
 
-  /** Takes the answer to a request. */
-  interface Answer {
-    void on(int status, JsonNode body);
-  }
-
   Node leader() {
     for (Node n : nodes) {
       if (n.up && n.core.hasAuthority()) {
