--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/ControllerProcess.java
@@ -0,0 +1,97 @@
+package org.snowturn.lab;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One real controller: its settings file, its process and what the process has used. */
+final class ControllerProcess {
+  private static final int KILL_WAIT_S = 5;
+
+  final String name;
+  final String zone;
+  final InetSocketAddress serving;
+  final InetSocketAddress peerBind;
+  private final Path settings;
+  private final Path log;
+  private Process process;
+  private ProcessUsage before = ProcessUsage.NOTHING;
+  private ProcessUsage peak = ProcessUsage.NOTHING;
+
+  ControllerProcess(String name, String zone, Path dir) throws IOException {
+    this.name = name;
+    this.zone = zone;
+    this.serving = free();
+    this.peerBind = free();
+    this.settings = dir.resolve(name + ".toml");
+    this.log = dir.resolve(name + ".log");
+  }
+
+  private static InetSocketAddress free() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), s.getLocalPort());
+    }
+  }
+
+  void configure(String toml) throws IOException {
+    Files.writeString(settings, toml);
+  }
+
+  /** Starts the process with the given command line, to which the settings file is added. */
+  void start(List<String> command, Path workingDirectory) throws IOException {
+    List<String> all = new ArrayList<>(command);
+    all.add(settings.toAbsolutePath().toString());
+    process =
+        new ProcessBuilder(all)
+            .directory(workingDirectory.toFile())
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+  }
+
+  boolean alive() {
+    return process != null && process.isAlive();
+  }
+
+  /** Ends the process at once, as a crash would, and waits until it is gone. */
+  void kill() {
+    if (process == null) {
+      return;
+    }
+    sample();
+    process.destroyForcibly();
+    try {
+      process.waitFor(KILL_WAIT_S, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Forgets what was used so far, so that {@link #used} tells of a phase of the run. */
+  void mark() {
+    before = alive() ? ProcessUsage.of(process.pid()) : ProcessUsage.NOTHING;
+    peak = before;
+  }
+
+  /** Takes a look; the last one before the process ends counts. */
+  void sample() {
+    if (alive()) {
+      ProcessUsage now = ProcessUsage.of(process.pid());
+      if (now.processorS() < peak.processorS()) {
+        before = ProcessUsage.NOTHING; // a new process, whose counters begin anew
+      }
+      peak = now.withPeaksOf(peak);
+    }
+  }
+
+  /** What was used since the mark, with the peaks of memory and sockets. */
+  ProcessUsage used() {
+    return peak.since(before);
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/Failure.java
@@ -0,0 +1,55 @@
+package org.snowturn.lab;
+
+import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.TypeConversionException;
+
+/**
+ * What goes wrong in a scale run.
+ *
+ * @param kind what kind of thing
+ * @param workers how many workers, if they are what fails
+ */
+record Failure(Kind kind, int workers) {
+  /** Kinds of failure. */
+  enum Kind {
+    NONE,
+    /** The leading controller's process ends and is started again. */
+    LEADER,
+    /** A zone's machines and its controller are gone for good. */
+    ZONE,
+    /** All controllers of a region end; its state service is out for a while. */
+    REGION,
+    /** Some machines end at once. */
+    WORKERS
+  }
+
+  static final Failure NONE = new Failure(Kind.NONE, 0);
+  private static final String WORKERS = "workers=";
+
+  /** Reads {@code leader}, {@code zone}, {@code region}, {@code workers=P} or {@code none}. */
+  static final class Reader implements ITypeConverter<Failure> {
+    @Override
+    public Failure convert(String text) {
+      switch (text) {
+        case "none":
+          return NONE;
+        case "leader":
+          return new Failure(Kind.LEADER, 0);
+        case "zone":
+          return new Failure(Kind.ZONE, 0);
+        case "region":
+          return new Failure(Kind.REGION, 0);
+        default:
+          if (text.matches(WORKERS + "[1-9][0-9]{0,5}")) {
+            return new Failure(Kind.WORKERS, Integer.parseInt(text.substring(WORKERS.length())));
+          }
+          throw new TypeConversionException("leader, zone, region or workers=COUNT expected");
+      }
+    }
+  }
+
+  @Override
+  public String toString() {
+    return kind == Kind.WORKERS ? WORKERS + workers : kind.name().toLowerCase(java.util.Locale.ROOT);
+  }
+}
--- a/src/lab/java/org/snowturn/lab/Lab.java
+++ b/src/lab/java/org/snowturn/lab/Lab.java
@@ -8,10 +8,10 @@
 @Command(
     name = "snowturn-lab",
     mixinStandardHelpOptions = true,
-    subcommands = {Days.class},
+    subcommands = {Scale.class, Days.class},
     description = "Scale runs of real controllers, their tables, and days of one's own.")
 public final class Lab {
-  private Lab() {}
+  Lab() {}
 
   /** Exit status 2 stands for what the caller got wrong, in one line. */
   public static void main(String[] args) {
--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/ProcessUsage.java
@@ -0,0 +1,149 @@
+package org.snowturn.lab;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What the kernel says that a process or one of its threads has used so far.
+ *
+ * @param processorS processor time in seconds
+ * @param residentMb memory held now
+ * @param sockets open now
+ * @param bytesIn read by system calls, which for these processes is nearly all from sockets
+ * @param bytesOut written
+ * @param reads system calls that read
+ * @param writes system calls that wrote
+ */
+record ProcessUsage(
+    double processorS,
+    double residentMb,
+    int sockets,
+    long bytesIn,
+    long bytesOut,
+    long reads,
+    long writes) {
+
+  private static final double TICKS_PER_S = 100;
+  private static final double KB_PER_MB = 1024;
+
+  /** In /proc/PID/stat, counted behind the name in parentheses. */
+  private static final int USER_TIME = 11;
+
+  private static final int SYSTEM_TIME = 12;
+  static final ProcessUsage NOTHING = new ProcessUsage(0, 0, 0, 0, 0, 0, 0);
+
+  /** A process that is gone has used nothing that could still be read. */
+  static ProcessUsage of(long pid) {
+    Path at = Path.of("/proc", Long.toString(pid));
+    try {
+      Map<String, Long> io = fields(at.resolve("io"));
+      return new ProcessUsage(
+          processorS(at),
+          fields(at.resolve("status")).getOrDefault("VmRSS", 0L) / KB_PER_MB,
+          sockets(at),
+          io.getOrDefault("rchar", 0L),
+          io.getOrDefault("wchar", 0L),
+          io.getOrDefault("syscr", 0L),
+          io.getOrDefault("syscw", 0L));
+    } catch (IOException e) {
+      return NOTHING;
+    }
+  }
+
+  /** This process's threads, summed up by the part of their name before the first dash. */
+  static Map<String, ProcessUsage> ownThreads() throws IOException {
+    Map<String, ProcessUsage> out = new TreeMap<>();
+    try (DirectoryStream<Path> threads = Files.newDirectoryStream(Path.of("/proc/self/task"))) {
+      for (Path t : threads) {
+        try {
+          String role = Files.readString(t.resolve("comm")).trim().split("-")[0];
+          Map<String, Long> io = fields(t.resolve("io"));
+          ProcessUsage u =
+              new ProcessUsage(
+                  processorS(t),
+                  0,
+                  0,
+                  io.getOrDefault("rchar", 0L),
+                  io.getOrDefault("wchar", 0L),
+                  io.getOrDefault("syscr", 0L),
+                  io.getOrDefault("syscw", 0L));
+          out.merge(role, u, ProcessUsage::plus);
+        } catch (IOException e) {
+          // The thread has ended between the listing and the look at it.
+          continue;
+        }
+      }
+    }
+    return out;
+  }
+
+  private static double processorS(Path at) throws IOException {
+    String stat = Files.readString(at.resolve("stat"));
+    String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+    return (Long.parseLong(words[USER_TIME]) + Long.parseLong(words[SYSTEM_TIME])) / TICKS_PER_S;
+  }
+
+  private static int sockets(Path at) throws IOException {
+    int n = 0;
+    try (DirectoryStream<Path> open = Files.newDirectoryStream(at.resolve("fd"))) {
+      for (Path f : open) {
+        try {
+          n += Files.readSymbolicLink(f).toString().startsWith("socket:") ? 1 : 0;
+        } catch (IOException e) {
+          continue; // closed meanwhile
+        }
+      }
+    }
+    return n;
+  }
+
+  private static Map<String, Long> fields(Path file) throws IOException {
+    Map<String, Long> out = new TreeMap<>();
+    for (String line : Files.readAllLines(file)) {
+      String[] words = line.split(":?\\s+");
+      if (words.length > 1 && words[1].matches("[0-9]+")) {
+        out.put(words[0], Long.parseLong(words[1]));
+      }
+    }
+    return out;
+  }
+
+  ProcessUsage plus(ProcessUsage o) {
+    return new ProcessUsage(
+        processorS + o.processorS,
+        residentMb + o.residentMb,
+        sockets + o.sockets,
+        bytesIn + o.bytesIn,
+        bytesOut + o.bytesOut,
+        reads + o.reads,
+        writes + o.writes);
+  }
+
+  /** What was used since an earlier look; what is held now stays as it is. */
+  ProcessUsage since(ProcessUsage o) {
+    return new ProcessUsage(
+        processorS - o.processorS,
+        residentMb,
+        sockets,
+        bytesIn - o.bytesIn,
+        bytesOut - o.bytesOut,
+        reads - o.reads,
+        writes - o.writes);
+  }
+
+  /** The larger memory and socket count of two looks, with what was used by the later one. */
+  ProcessUsage withPeaksOf(ProcessUsage earlier) {
+    return new ProcessUsage(
+        processorS,
+        Math.max(residentMb, earlier.residentMb),
+        Math.max(sockets, earlier.sockets),
+        bytesIn,
+        bytesOut,
+        reads,
+        writes);
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/ScaleRun.java
@@ -0,0 +1,242 @@
+package org.snowturn.lab;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeoutException;
+import org.HdrHistogram.Histogram;
+import org.snowturn.sim.Region;
+import org.snowturn.sim.RegionPlan;
+import org.snowturn.sim.RegionStatus;
+
+/**
+ * Plays a plan: hollow regions in this process, their controllers in processes of their own. Ends
+ * all processes that it started, however it ends.
+ */
+final class ScaleRun implements AutoCloseable {
+  private static final long STEP_MS = 1_000;
+  private static final int PROGRESS_EVERY_S = 10;
+
+  /** Machines are up and listed by the cloud before the first controller starts. */
+  private static final int WORKERS_FIRST_S = 9;
+
+  private static final int LONGEST_FILL_S = 240;
+  private static final double FILLED = 0.97;
+  private static final long RESTART_MS = 3_000;
+  private static final long REGION_OUT_MS = 20_000;
+
+  private final ScalePlan plan;
+  private final List<String> command;
+  private final Path root;
+  private final Path dir;
+  private final PrintStream progress;
+  private final List<Part> parts = new ArrayList<>();
+  private final Thread atExit = new Thread(this::killAll, "stop");
+  private ScaleResult.Builder result;
+  private double fillS;
+
+  /** One region: its hollow part, and its processes. */
+  private static final class Part {
+    final RegionPlan plan;
+    final Region region;
+    final List<ControllerProcess> controllers = new ArrayList<>();
+    RegionStatus atMark;
+
+    Part(RegionPlan plan) {
+      this.plan = plan;
+      this.region = new Region(plan);
+    }
+
+    ControllerProcess named(String name) {
+      return controllers.stream().filter(c -> c.name.equals(name)).findFirst().orElse(null);
+    }
+  }
+
+  ScaleRun(ScalePlan plan, List<String> command, Path root, Path dir, PrintStream progress) {
+    this.plan = plan;
+    this.command = command;
+    this.root = root;
+    this.dir = dir;
+    this.progress = progress;
+  }
+
+  ScaleResult play() throws IOException, InterruptedException, TimeoutException {
+    Files.createDirectories(dir);
+    Runtime.getRuntime().addShutdownHook(atExit);
+    for (RegionPlan p : plan.parts()) {
+      open(new Part(p));
+    }
+    sleep(WORKERS_FIRST_S, "workers come up");
+    startControllers();
+    fill();
+    mark();
+    load();
+    return collect();
+  }
+
+  private void open(Part part) throws IOException {
+    parts.add(part);
+    Region.Outside outside = part.region.open();
+    List<String> zones = part.plan.zones();
+    for (String name : part.plan.controllers()) {
+      String zone = zones.get(part.controllers.size() % zones.size());
+      part.controllers.add(new ControllerProcess(name, zone, dir));
+    }
+    Map<String, InetSocketAddress> serving = new HashMap<>();
+    for (ControllerProcess c : part.controllers) {
+      serving.put(c.name, c.serving);
+      c.configure(SettingsFile.of(c, part.controllers, part.plan, part.region, outside));
+    }
+    part.region.start(serving);
+  }
+
+  private void startControllers() throws IOException {
+    for (Part p : parts) {
+      for (ControllerProcess c : p.controllers) {
+        c.start(command, root);
+      }
+    }
+  }
+
+  /** Until the standing tasks run, or for as long as that may take. */
+  private void fill() throws InterruptedException, TimeoutException {
+    parts.forEach(p -> p.region.fill());
+    long began = System.nanoTime();
+    int seconds = 0;
+    while (seconds < LONGEST_FILL_S && !filled()) {
+      sleep(1, null);
+      seconds++;
+      if (seconds % PROGRESS_EVERY_S == 0) {
+        tell("filling");
+      }
+    }
+    fillS = (System.nanoTime() - began) / 1e9;
+  }
+
+  private boolean filled() throws TimeoutException {
+    for (Part p : parts) {
+      if (p.region.status().running() < p.region.standing() * FILLED) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void mark() throws IOException, TimeoutException {
+    result = new ScaleResult.Builder(plan, ProcessUsage.ownThreads(), fillS);
+    for (Part p : parts) {
+      p.atMark = p.region.status();
+      p.controllers.forEach(ControllerProcess::mark);
+    }
+  }
+
+  private void load() throws IOException, InterruptedException, TimeoutException {
+    parts.forEach(p -> p.region.arrive());
+    int failsAt = plan.durationS() / 3;
+    long began = System.nanoTime();
+    boolean failed = plan.failure().kind() == Failure.Kind.NONE;
+    for (int s = 0; s < plan.durationS(); s++) {
+      if (!failed && s >= failsAt) {
+        failed = true;
+        fail();
+      }
+      sleep(1, null);
+      parts.forEach(p -> p.controllers.forEach(ControllerProcess::sample));
+      if ((s + 1) % PROGRESS_EVERY_S == 0) {
+        tell("load");
+      }
+    }
+    result.lasted((System.nanoTime() - began) / 1e9);
+  }
+
+  private void fail() throws IOException, InterruptedException, TimeoutException {
+    Part first = parts.get(0);
+    progress.println("fails now: " + plan.failure());
+    switch (plan.failure().kind()) {
+      case LEADER -> {
+        ControllerProcess leader = first.named(first.region.status().leader());
+        if (leader != null) {
+          leader.kill();
+          Thread.sleep(RESTART_MS);
+          leader.start(command, root);
+        }
+      }
+      case ZONE -> {
+        String zone = first.plan.zones().get(0);
+        first.region.failZone(zone);
+        first.controllers.stream().filter(c -> c.zone.equals(zone)).forEach(ControllerProcess::kill);
+      }
+      case REGION -> {
+        first.region.stateOutage(REGION_OUT_MS);
+        first.controllers.forEach(ControllerProcess::kill);
+        Thread.sleep(RESTART_MS);
+        for (ControllerProcess c : first.controllers) {
+          c.start(command, root);
+        }
+      }
+      case WORKERS -> first.region.failWorkers(plan.failure().workers());
+      default -> throw new IllegalStateException(plan.failure().toString());
+    }
+  }
+
+  private ScaleResult collect() throws IOException, TimeoutException {
+    for (Part p : parts) {
+      RegionStatus now = p.region.status();
+      Histogram urgent = p.region.urgentDelays();
+      Histogram accepted = p.region.acceptDelays();
+      result.region(p.plan, p.atMark, now, urgent, accepted);
+      for (ControllerProcess c : p.controllers) {
+        c.sample();
+        result.controller(p.plan.number(), c.name, c.name.equals(now.leader()), c.used());
+      }
+    }
+    return result.threads(ProcessUsage.ownThreads()).build();
+  }
+
+  private void sleep(int seconds, String why) throws InterruptedException {
+    if (why != null) {
+      progress.println(why);
+    }
+    Thread.sleep(seconds * STEP_MS);
+  }
+
+  private void tell(String phase) throws TimeoutException {
+    StringBuilder line = new StringBuilder(phase);
+    for (Part p : parts) {
+      RegionStatus s = p.region.status();
+      line.append(
+          String.format(
+              java.util.Locale.ROOT,
+              "  region %d: leader %s, workers %d, running %d, starts %d, jobs over %d%s",
+              p.plan.number(),
+              s.leader(),
+              s.workersUp(),
+              s.running(),
+              s.starts(),
+              s.jobsDone(),
+              s.broken().isEmpty() ? "" : ", BROKEN " + s.broken()));
+    }
+    progress.println(line);
+  }
+
+  private void killAll() {
+    parts.forEach(p -> p.controllers.forEach(ControllerProcess::kill));
+  }
+
+  @Override
+  public void close() {
+    killAll();
+    parts.forEach(p -> p.region.close());
+    try {
+      Runtime.getRuntime().removeShutdownHook(atExit);
+    } catch (IllegalStateException e) {
+      return; // already on the way out, where the hook has ended them
+    }
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/Load.java
@@ -0,0 +1,113 @@
+package org.snowturn.sim;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.snowturn.wire.JobSpec;
+
+/**
+ * The users' load of a scale run, by the clock and not by the answers: standing arrays that run to
+ * the end, short arrays at the rate of starts that is asked for, and small urgent jobs among them.
+ */
+final class Load {
+  /** No job has more tasks. */
+  static final int LARGEST_JOB = 400;
+
+  private static final int SHORT_JOB = 100;
+  private static final int URGENT_JOB = 4;
+  private static final double URGENT_PER_SECOND = 2;
+  private static final long SHORT_RUN_MS = 10_000;
+  private static final long STANDING_RUN_MS = 86_400_000;
+  private static final long FILL_EVERY_MS = 250;
+  private static final long LONGEST_DELAY_MS = 3_600_000;
+  private static final String URGENT = "urgent";
+
+  private final World world;
+  private final RegionPlan plan;
+  private final Histogram urgent = new Histogram(LONGEST_DELAY_MS, 2);
+  private final Histogram accepted = new Histogram(LONGEST_DELAY_MS, 2);
+  private int nextJob = 1;
+
+  Load(World world, RegionPlan plan) {
+    this.world = world;
+    this.plan = plan;
+    world.users.startListener =
+        (spec, delayMs) -> {
+          if (spec.jobClass().equals(URGENT)) {
+            urgent.recordValue(Math.min(delayMs, LONGEST_DELAY_MS));
+          }
+        };
+    world.users.acceptedListener =
+        delayMs -> accepted.recordValue(Math.min(delayMs, LONGEST_DELAY_MS));
+  }
+
+  static String team(int number) {
+    return "team-" + number;
+  }
+
+  Histogram urgentDelays() {
+    return urgent;
+  }
+
+  Histogram acceptDelays() {
+    return accepted;
+  }
+
+  long over() {
+    long n = 0;
+    for (Users.Mine m : world.users.all()) {
+      n += m.terminal != null ? 1 : 0;
+    }
+    return n;
+  }
+
+  /** What stands, less what the short arrays take once they come. */
+  int standing() {
+    return (int) Math.max(0, plan.tasks() - plan.startsPerSecond() * SHORT_RUN_MS / 1000);
+  }
+
+  void fill() {
+    fill(standing());
+  }
+
+  private void fill(int left) {
+    if (left > 0) {
+      int tasks = Math.min(left, LARGEST_JOB);
+      submit("standing", "high", tasks, STANDING_RUN_MS);
+      world.after(FILL_EVERY_MS, () -> fill(left - tasks));
+    }
+  }
+
+  void arrive() {
+    accepted.reset();
+    double urgentStarts = Math.min(plan.startsPerSecond(), URGENT_PER_SECOND * URGENT_JOB);
+    every(urgentStarts / URGENT_JOB, () -> submit(URGENT, "production", URGENT_JOB, SHORT_RUN_MS));
+    double shortStarts = plan.startsPerSecond() - urgentStarts;
+    every(shortStarts / SHORT_JOB, () -> submit("short", "high", SHORT_JOB, SHORT_RUN_MS));
+  }
+
+  /** Arrivals are drawn as they come from many users, whatever becomes of those before. */
+  private void every(double perSecond, Runnable what) {
+    if (perSecond > 0) {
+      double seconds = -Math.log(1 - world.random.nextDouble()) / perSecond;
+      world.after(
+          Math.round(seconds * 1000),
+          () -> {
+            what.run();
+            every(perSecond, what);
+          });
+    }
+  }
+
+  private void submit(String jobClass, String rank, int tasks, long runMs) {
+    Map<String, String> o = new HashMap<>();
+    o.put("class", jobClass);
+    o.put("rank", rank);
+    o.put("team", team(nextJob % plan.teams()));
+    o.put("tasks", "" + tasks);
+    o.put("cpus", "1");
+    o.put("guess", "" + Math.min(runMs, 600_000) / 1000);
+    JobSpec spec = Scenario.spec(String.format("wk-%d%07d", 1 + plan.number(), nextJob++), "batch", o);
+    world.users.submit(spec, runMs, Map.of());
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/RealTime.java
@@ -0,0 +1,92 @@
+package org.snowturn.sim;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Drives a world by the steady clock, on one thread. Whatever comes from outside (requests, answers
+ * from real processes) is handed in by {@link #post} and runs on that thread too, so the stand-ins
+ * need no locks.
+ */
+final class RealTime {
+  private static final Logger LOG = LoggerFactory.getLogger(RealTime.class);
+  private static final long LONGEST_SLEEP_MS = 20;
+  private static final int AT_ONCE = 500;
+  private static final long RULES_EVERY_MS = 500;
+
+  private final World world;
+  private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+  private final long beganNanos = System.nanoTime();
+  private final Thread thread;
+  private volatile boolean stopped;
+  private long rulesAt;
+
+  RealTime(World world, String name) {
+    this.world = world;
+    this.thread = new Thread(this::run, name);
+    thread.setDaemon(true);
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  /** Ends the thread; what still waits is dropped. */
+  void stop() {
+    stopped = true;
+  }
+
+  /** Runs something on the world's thread, soon. */
+  void post(Runnable run) {
+    inbox.add(run);
+  }
+
+  private long nowMs() {
+    return (System.nanoTime() - beganNanos) / 1_000_000;
+  }
+
+  private void run() {
+    while (!stopped) {
+      try {
+        Runnable next = inbox.poll(world.idleMs(LONGEST_SLEEP_MS), TimeUnit.MILLISECONDS);
+        world.runDue(nowMs());
+        for (int n = 0; next != null && n < AT_ONCE; n++) {
+          safely(next);
+          next = inbox.poll();
+        }
+        if (next != null) {
+          safely(next);
+        }
+        checkRules();
+      } catch (InterruptedException e) {
+        return;
+      } catch (RuntimeException e) {
+        failed(e);
+      }
+    }
+  }
+
+  private void checkRules() {
+    if (world.now >= rulesAt) {
+      rulesAt = world.now + RULES_EVERY_MS;
+      world.rules.check();
+    }
+  }
+
+  private void safely(Runnable run) {
+    try {
+      run.run();
+    } catch (RuntimeException e) {
+      failed(e);
+    }
+  }
+
+  /** A fault of the world itself: it counts as a broken rule, so that no run passes over it. */
+  private void failed(RuntimeException e) {
+    LOG.error("the world failed", e);
+    world.rules.broke("world_failed", e.toString());
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/Region.java
@@ -0,0 +1,301 @@
+package org.snowturn.sim;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import org.HdrHistogram.Histogram;
+import org.snowturn.config.Settings;
+import org.snowturn.net.HttpCaller;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * One region of a scale run: the stand-ins' world in real time, reached by the region's controllers
+ * over HTTP, and the load on them. Its methods may be called from any thread.
+ */
+public final class Region implements AutoCloseable {
+  private static final int USER_CONNECTIONS = 200;
+  private static final long PROBE_MS = 500;
+  private static final long SAMPLE_MS = 100;
+  private static final long ANSWER_S = 30;
+  private static final long BOOT_MS = 3_000;
+  private static final double MEMORY_PER_CPU_GB = 4.5;
+
+  /** Machines have so much more room than their share of the standing tasks takes. */
+  private static final double ROOM = 1.15;
+
+  private static final int LEAST_CPUS = 8;
+  private static final int PER_OCTET = 250;
+  private static final int FIRST_OCTET = 16;
+
+  private final RegionPlan plan;
+  private final World world;
+  private final RealTime loop;
+  private final StandInServer server;
+  private final List<RemoteEndpoint> endpoints = new ArrayList<>();
+  private final List<XnioWorker> threads = new ArrayList<>();
+  private final Load load;
+  private final Set<Long> tokens = new HashSet<>();
+  private int workersPort;
+  private long lastStarts;
+  private long lastStartAt;
+  private long longestPause;
+  private boolean watchingPauses;
+
+  /** Where a controller finds the outside, and what it is told of itself. */
+  public record Outside(Map<String, InetSocketAddress> state, InetSocketAddress cloud) {}
+
+  /** Builds the region; nothing runs yet. */
+  public Region(RegionPlan plan) {
+    this.plan = plan;
+    double cpus = Math.max(LEAST_CPUS, Math.ceil(plan.tasks() * ROOM / plan.workers()));
+    Sizes sizes =
+        new Sizes(cpus, cpus * MEMORY_PER_CPU_GB, 3_300, false, 500, id -> address(id));
+    this.world = World.ofProcesses(plan.seed(), new Settings[] {settings()}, sizes);
+    world.cloud.perZone = 0;
+    world.cloud.bootMs = BOOT_MS;
+    world.cloud.listLagMs = (long) (plan.cloud().listLagS() * 1000);
+    this.loop = new RealTime(world, "world-" + plan.number());
+    this.server = new StandInServer(world, loop);
+    this.load = new Load(world, plan);
+  }
+
+  private Settings settings() {
+    InetSocketAddress none = new InetSocketAddress(0);
+    List<Settings.Team> teams = new ArrayList<>();
+    for (Team t : teams()) {
+      teams.add(new Settings.Team(t.name(), 0, t.mostCpus(), 0, 0));
+    }
+    return new Settings(
+        plan.controllers().get(0),
+        plan.zones().get(0),
+        none,
+        none,
+        List.of(),
+        none,
+        none,
+        plan.zones(),
+        teams,
+        List.of(),
+        plan.figures(),
+        plan.state(),
+        plan.state(),
+        plan.cloud(),
+        plan.maxConnections());
+  }
+
+  /** A team and the most that its tasks may use. */
+  public record Team(String name, double mostCpus) {}
+
+  /** The teams: each may use twice its even part of the region. */
+  public List<Team> teams() {
+    List<Team> out = new ArrayList<>();
+    double most = Math.ceil(2.0 * plan.tasks() / plan.teams()) + Load.LARGEST_JOB;
+    for (int i = 0; i < plan.teams(); i++) {
+      out.add(new Team(Load.team(i), most));
+    }
+    return out;
+  }
+
+  private String address(String machine) {
+    int n = Integer.parseInt(machine.substring(machine.indexOf('-') + 1));
+    int third = n / PER_OCTET % PER_OCTET;
+    return "127." + (FIRST_OCTET + plan.number()) + "." + third + "." + (1 + n % PER_OCTET)
+        + ":" + workersPort;
+  }
+
+  /** Opens the stand-ins' ports. */
+  public Outside open() throws IOException {
+    XnioWorker state = threads("state", 1);
+    XnioWorker workers = threads("hollow", 2);
+    Map<String, InetSocketAddress> ports = server.start(plan.controllers(), state, workers);
+    workersPort = server.workersPort();
+    return new Outside(ports, server.cloud());
+  }
+
+  private XnioWorker threads(String role, int count) throws IOException {
+    XnioWorker w =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_NAME, role + "-" + plan.number())
+                    .set(Options.WORKER_IO_THREADS, count)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+    threads.add(w);
+    return w;
+  }
+
+  /** Starts the world; machines come up, and users' and workers' requests go to the controllers. */
+  public void start(Map<String, InetSocketAddress> serving) throws IOException {
+    ByteBufferPool buffers = new DefaultByteBufferPool(false, 16 * 1024, 256, 8);
+    XnioWorker workers = threads("report", 2);
+    XnioWorker users = threads("users", 1);
+    WorkerLinks links =
+        new WorkerLinks(List.of(workers.getIoThread(0), workers.getIoThread(1)), buffers);
+    XnioIoThread usersThread = users.getIoThread(0);
+    for (String name : plan.controllers()) {
+      InetSocketAddress at = serving.get(name);
+      HttpCaller caller = new HttpCaller(at, usersThread, buffers, USER_CONNECTIONS);
+      endpoints.add(new RemoteEndpoint(name, at, world, loop, links, usersThread, caller));
+    }
+    loop.start();
+    loop.post(
+        () -> {
+          world.endpoints.addAll(endpoints);
+          for (int i = 0; i < plan.workers(); i++) {
+            world.cloud.rent(plan.zones().get(i % plan.zones().size()), false);
+          }
+          probe();
+          sample();
+        });
+  }
+
+  private void probe() {
+    endpoints.forEach(RemoteEndpoint::probe);
+    world.after(PROBE_MS, this::probe);
+  }
+
+  private void sample() {
+    if (world.rules.starts != lastStarts) {
+      lastStarts = world.rules.starts;
+      lastStartAt = world.now;
+    } else if (watchingPauses) {
+      longestPause = Math.max(longestPause, world.now - lastStartAt);
+    }
+    world.workers.values().forEach(w -> tokens.add(w.token()));
+    world.after(SAMPLE_MS, this::sample);
+  }
+
+  /** How many tasks of standing arrays there will be. */
+  public int standing() {
+    return load.standing();
+  }
+
+  /** Submits the standing arrays, which run until the end. */
+  public void fill() {
+    loop.post(load::fill);
+  }
+
+  /** From now on short arrays and urgent jobs come at their rates, and pauses are counted. */
+  public void arrive() {
+    loop.post(
+        () -> {
+          lastStartAt = world.now;
+          watchingPauses = true;
+          load.arrive();
+        });
+  }
+
+  /** Ends so many machines at once, with all that is on them. */
+  public void failWorkers(int count) {
+    loop.post(
+        () -> {
+          int left = count;
+          for (StandInWorker w : List.copyOf(world.workers.values())) {
+            if (left > 0 && !w.dead) {
+              world.cloud.fail(w.rented);
+              left--;
+            }
+          }
+        });
+  }
+
+  /** Ends all machines of a zone at once. */
+  public void failZone(String zone) {
+    loop.post(
+        () ->
+            List.copyOf(world.workers.values()).stream()
+                .filter(w -> !w.dead && w.rented.zone.equals(zone))
+                .forEach(w -> world.cloud.fail(w.rented)));
+  }
+
+  /** The state service does not answer for so long. */
+  public void stateOutage(long ms) {
+    loop.post(() -> world.state.outage(ms));
+  }
+
+  /** What has happened so far. */
+  public RegionStatus status() throws TimeoutException {
+    return ask(this::now);
+  }
+
+  private RegionStatus now() {
+    long running = 0;
+    int up = 0;
+    for (StandInWorker w : world.workers.values()) {
+      up += w.dead ? 0 : 1;
+      for (StandInWorker.Task t : w.tasks.values()) {
+        running += t.present ? 1 : 0;
+      }
+    }
+    List<String> broken = new ArrayList<>(world.rules.broken);
+    broken.addAll(world.rules.details);
+    return new RegionStatus(
+        world.now,
+        world.rules.starts,
+        running,
+        up,
+        load.over(),
+        leader(),
+        tokens.size(),
+        longestPause,
+        world.state.writes,
+        world.state.requests,
+        world.state.refusals.getOrDefault("429", 0),
+        world.reports,
+        world.commands,
+        broken);
+  }
+
+  private String leader() {
+    RemoteEndpoint last = null;
+    for (RemoteEndpoint e : endpoints) {
+      last = last == null || e.answeredWorkersAt > last.answeredWorkersAt ? e : last;
+    }
+    return last == null || last.answeredWorkersAt == Long.MIN_VALUE ? null : last.name;
+  }
+
+  /** How long tasks of urgent jobs waited for their start, from when the job was due, in ms. */
+  public Histogram urgentDelays() throws TimeoutException {
+    return ask(() -> load.urgentDelays().copy());
+  }
+
+  /** How long submissions took to be accepted, from when they were due, in ms. */
+  public Histogram acceptDelays() throws TimeoutException {
+    return ask(() -> load.acceptDelays().copy());
+  }
+
+  private <T> T ask(Supplier<T> question) throws TimeoutException {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    loop.post(() -> answer.complete(question.get()));
+    try {
+      return answer.get(ANSWER_S, TimeUnit.SECONDS);
+    } catch (InterruptedException | ExecutionException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    loop.stop();
+    server.stop();
+    threads.forEach(XnioWorker::shutdownNow);
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/RegionPlan.java
@@ -0,0 +1,34 @@
+package org.snowturn.sim;
+
+import java.util.List;
+import org.snowturn.config.Settings;
+
+/**
+ * What a region of a scale run is made of.
+ *
+ * @param number of the region, from 0
+ * @param zones the names of its zones
+ * @param controllers the names of its controllers, in zones by turns
+ * @param workers how many machines
+ * @param tasks how many tasks run at a time
+ * @param startsPerSecond how many tasks are started in a second, once the standing ones run
+ * @param teams how many teams submit
+ * @param seed of all that is drawn
+ * @param figures the workers' report interval and leases
+ * @param state limits of the state service
+ * @param cloud limits of the cloud
+ * @param maxConnections sockets of a controller
+ */
+public record RegionPlan(
+    int number,
+    List<String> zones,
+    List<String> controllers,
+    int workers,
+    int tasks,
+    double startsPerSecond,
+    int teams,
+    long seed,
+    Settings.Workers figures,
+    Settings.StateLimits state,
+    Settings.CloudLimits cloud,
+    int maxConnections) {}
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/RemoteEndpoint.java
@@ -0,0 +1,117 @@
+package org.snowturn.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.LongFunction;
+import org.snowturn.core.Input;
+import org.snowturn.core.Outcome;
+import org.snowturn.net.HttpCaller;
+import org.snowturn.wire.Json;
+import org.xnio.XnioIoThread;
+
+/** A controller that is a process of its own, reached over loopback. */
+final class RemoteEndpoint extends Endpoint {
+  private static final String RUNS = "/v2/runs";
+  private static final int CHECK_IN_TIMEOUT_MS = 4_000;
+  private static final int SUBMIT_TIMEOUT_MS = 5_000;
+  private static final int POLL_TIMEOUT_MS = 2_000;
+  private static final int PROBE_TIMEOUT_MS = 1_000;
+
+  private final RealTime loop;
+  private final InetSocketAddress addr;
+  private final WorkerLinks links;
+  private final XnioIoThread usersThread;
+  private final HttpCaller users;
+
+  /** The last check-in that it answered with 200, in the world's time; the leader does. */
+  long answeredWorkersAt = Long.MIN_VALUE;
+
+  private final World world;
+
+  RemoteEndpoint(
+      String name,
+      InetSocketAddress addr,
+      World world,
+      RealTime loop,
+      WorkerLinks links,
+      XnioIoThread usersThread,
+      HttpCaller users) {
+    super(name);
+    this.addr = addr;
+    this.world = world;
+    this.loop = loop;
+    this.links = links;
+    this.usersThread = usersThread;
+    this.users = users;
+  }
+
+  @Override
+  void checkIn(String from, JsonNode report, Answer answer) {
+    links.on(
+        from,
+        addr,
+        caller ->
+            caller.call(
+                "POST",
+                "/checkin",
+                Json.bytes(report),
+                CHECK_IN_TIMEOUT_MS,
+                (outcome, status, body, retryAfterS) -> {
+                  JsonNode json = parsed(body);
+                  loop.post(() -> checkedIn(outcome, status, json, answer));
+                }));
+  }
+
+  private void checkedIn(Outcome outcome, int status, JsonNode body, Answer answer) {
+    boolean answered = outcome == Outcome.ANSWERED;
+    if (answered && status == 200) {
+      answeredWorkersAt = world.now;
+    }
+    // When the answer left its node cannot be seen from here: no start is judged by it.
+    world.answerLeftAt = Long.MIN_VALUE;
+    answer.on(answered ? status : 0, body);
+  }
+
+  @Override
+  void request(String from, LongFunction<Input> input, Answer answer) {
+    Input i = input.apply(0);
+    if (i instanceof Input.Submit s) {
+      ask("POST", RUNS, Json.bytes(s.spec().toJson()), SUBMIT_TIMEOUT_MS, answer);
+    } else if (i instanceof Input.Poll p) {
+      ask("GET", RUNS + "/" + p.job(), null, POLL_TIMEOUT_MS, answer);
+    } else if (i instanceof Input.Cancel c) {
+      ask("POST", RUNS + "/" + c.job() + "/cancel", null, SUBMIT_TIMEOUT_MS, answer);
+    } else {
+      throw new IllegalArgumentException("no request of a user: " + i);
+    }
+  }
+
+  /** Asks whether the node is ready, as the load balancer does. */
+  void probe() {
+    ask("GET", "/ready", null, PROBE_TIMEOUT_MS, (status, body) -> up = status == 200);
+  }
+
+  private void ask(String method, String path, byte[] body, int timeoutMs, Answer answer) {
+    usersThread.execute(
+        () ->
+            users.call(
+                method,
+                path,
+                body,
+                timeoutMs,
+                (outcome, status, bytes, retryAfterS) -> {
+                  JsonNode json = parsed(bytes);
+                  int got = outcome == Outcome.ANSWERED ? status : 0;
+                  loop.post(() -> answer.on(got, json));
+                }));
+  }
+
+  private static JsonNode parsed(byte[] body) {
+    try {
+      return body == null || body.length == 0 ? null : Json.parse(body);
+    } catch (IOException e) {
+      return null;
+    }
+  }
+}
--- a/src/lab/java/org/snowturn/sim/Rules.java
+++ b/src/lab/java/org/snowturn/sim/Rules.java
@@ -32,6 +32,9 @@
   }
 
   private final Map<String, List<Started>> started = new HashMap<>();
+  /** Tasks that have begun to run, in all. */
+  long starts;
+
   private final World world;
   private long nextLookAt;
   private World.Node leader;
@@ -57,6 +60,7 @@
     checkAwaited(t, spec);
     checkWanted(t);
     world.users.started(t.job);
+    starts++;
     int[] sameZone = {0};
     int[] otherZone = {0};
     List<Started> ofJob = started.computeIfAbsent(t.job, k -> new ArrayList<>());
--- a/src/lab/java/org/snowturn/sim/StandInState.java
+++ b/src/lab/java/org/snowturn/sim/StandInState.java
@@ -54,6 +54,11 @@
   /** How many requests were refused, by status. */
   final Map<String, Integer> refusals = new HashMap<>();
 
+  /** Requests so far, and changes that they asked for. */
+  long requests;
+
+  long writes;
+
   private final Map<String, List<String[]>> running = new HashMap<>();
   private double writesLeft;
   private double requestsLeft;
@@ -229,6 +234,8 @@
       back = (o, s, b) -> world.after(world.jitter(2) * slow, () -> prompt.on(o, s, b));
     }
     expire();
+    requests++;
+    writes += c.path().equals("/txn") ? c.body().path("apply").size() : 0;
     if (outage || refusing.contains(from)) {
       back.on(Outcome.REFUSED, 503, null);
       return;
--- a/src/lab/java/org/snowturn/sim/StandInWorker.java
+++ b/src/lab/java/org/snowturn/sim/StandInWorker.java
@@ -95,6 +95,11 @@
     return t;
   }
 
+  /** The highest token seen. */
+  long token() {
+    return token;
+  }
+
   /** Whether the task is still on this machine, whatever its state. */
   boolean has(Task t) {
     return tasks.get(t.job + "/" + t.index + "#" + t.attempt) == t;
@@ -160,6 +165,7 @@
     long inSession = session;
     long mine = ++generation;
     ObjectNode report = body();
+    world.reports++;
     Runnable arrive =
         () ->
             node.checkIn(
@@ -251,6 +257,7 @@
     if (dead) {
       return;
     }
+    world.commands++;
     if (hung) {
       world.after(300, () -> command(body, leftAt, back));
       return;
--- a/src/lab/java/org/snowturn/sim/Users.java
+++ b/src/lab/java/org/snowturn/sim/Users.java
@@ -44,6 +44,16 @@
 
   private static final long WITHIN_MS = 30;
 
+  /** Is told of each start how long after the job's submission it came. */
+  interface StartListener {
+    void on(JobSpec spec, long delayMs);
+  }
+
+  StartListener startListener = (spec, delayMs) -> {};
+
+  /** Is told how long an answered submission took from when it was due. */
+  java.util.function.LongConsumer acceptedListener = delayMs -> {};
+
   private final World world;
   private long closeUntil;
   private long oddUntil;
@@ -101,6 +111,7 @@
   void started(String id) {
     Mine m = jobs.get(id);
     m.firstStartAt = m.firstStartAt < 0 ? world.now : m.firstStartAt;
+    startListener.on(m.spec, world.now - m.submittedAt);
   }
 
   boolean anyCancelTold() {
@@ -326,6 +337,9 @@
             boolean first = !m.accepted;
             m.accepted = true;
             m.acceptedAt = first ? world.now : m.acceptedAt;
+            if (first) {
+              acceptedListener.accept(world.now - m.submittedAt);
+            }
             told(m, askedAt, body);
             if (first) {
               poll(m);
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/WorkerLinks.java
@@ -0,0 +1,53 @@
+package org.snowturn.sim;
+
+import io.undertow.connector.ByteBufferPool;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.snowturn.net.HttpCaller;
+import org.xnio.XnioIoThread;
+
+/**
+ * The connections over which hollow workers report: one each, to the controller that the worker has
+ * chosen last. A worker's connection stays on one I/O thread, so no locks are needed.
+ */
+final class WorkerLinks {
+  private record Link(InetSocketAddress to, HttpCaller caller) {}
+
+  /** The links of one I/O thread, entered by that thread only. */
+  private static final class Lane {
+    final XnioIoThread io;
+    final Map<String, Link> links = new HashMap<>();
+
+    Lane(XnioIoThread io) {
+      this.io = io;
+    }
+  }
+
+  private final List<Lane> lanes;
+  private final ByteBufferPool buffers;
+
+  WorkerLinks(List<XnioIoThread> threads, ByteBufferPool buffers) {
+    this.lanes = threads.stream().map(Lane::new).toList();
+    this.buffers = buffers;
+  }
+
+  /** Calls {@code use} with the worker's connection to a controller, on the worker's thread. */
+  void on(String worker, InetSocketAddress to, java.util.function.Consumer<HttpCaller> use) {
+    Lane lane = lanes.get(Math.floorMod(worker.hashCode(), lanes.size()));
+    lane.io.execute(() -> use.accept(link(lane, worker, to)));
+  }
+
+  private HttpCaller link(Lane lane, String worker, InetSocketAddress to) {
+    Link l = lane.links.get(worker);
+    if (l == null || !l.to.equals(to)) {
+      if (l != null) {
+        l.caller.closeIfIdle();
+      }
+      l = new Link(to, new HttpCaller(to, lane.io, buffers, 1));
+      lane.links.put(worker, l);
+    }
+    return l.caller;
+  }
+}
--- a/src/lab/java/org/snowturn/sim/World.java
+++ b/src/lab/java/org/snowturn/sim/World.java
@@ -93,6 +93,11 @@
   /** From then on nothing is in trouble any more. */
   long calmFrom = Long.MAX_VALUE;
 
+  /** Check-ins that workers have sent, and direct messages that they have received. */
+  long reports;
+
+  long commands;
+
   /** Calls to the state service that went through a peer and were answered. */
   int relayed;
 
