Connections that are not kept are closed at once, not when the caller closes its end

The server waited for each caller to close its end, which workers do at their next report, so every worker held two sockets, all 2,706 were used, and commands found none. Change: the connection is closed as soon as its answer is written; gauge snowturn_connections_open.

--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -139,6 +139,7 @@
     try {
       server.start();
       served = server.getListenerInfo().get(0).getConnectorStatistics();
+      metrics.gauge("snowturn.connections.open", this::connectionsFromOutside);
       peers.listen(settings.peerBind());
     } catch (RuntimeException | IOException e) {
       boolean inUse = e instanceof BindException || e.getCause() instanceof BindException;
--- a/src/main/java/org/snowturn/front/Front.java
+++ b/src/main/java/org/snowturn/front/Front.java
@@ -26,6 +26,7 @@
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Report;
+import org.xnio.IoUtils;
 
 /** The HTTP side that users, workers, the load balancer and operators see. */
 public final class Front implements HttpHandler {
@@ -219,6 +220,13 @@
     closedAtNanos = now;
     metrics.count("snowturn.connections.closed", w.kind);
     w.exchange.setPersistent(false);
+    w.exchange.addExchangeCompleteListener(
+        (exchange, next) -> {
+          // At once: by itself the server would wait for the caller to close its end, and many do
+          // so only when they have their next request.
+          IoUtils.safeClose(exchange.getConnection());
+          next.proceed();
+        });
   }
 
   private static void finish(HttpServerExchange x, int status, byte[] body) {
--- a/src/test/java/org/snowturn/daemon/DaemonTest.java
+++ b/src/test/java/org/snowturn/daemon/DaemonTest.java
@@ -13,6 +13,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -150,6 +151,43 @@
     }
   }
 
+  /** Callers need not close their end: it is the node's sockets that are short. */
+  @Test
+  void aConnectionThatIsNotKeptIsClosedAtOnce() throws Exception {
+    List<Socket> callers = new ArrayList<>();
+    try {
+      for (int i = 0; i < 95; i++) {
+        callers.add(new Socket("127.0.0.1", at.getPort()));
+      }
+      String question = "GET /v2/runs/wk-000001 HTTP/1.1\r\nHost: n0\r\n\r\n";
+      for (Socket caller : callers) {
+        caller.getOutputStream().write(question.getBytes(StandardCharsets.US_ASCII));
+        assertEquals('H', caller.getInputStream().read());
+      }
+      int open = 95;
+      for (int i = 0; i < 200 && open > 80; i++) {
+        Thread.sleep(10);
+        open = connectionsOpen();
+      }
+      assertTrue(open <= 80, open + " connections still open");
+    } finally {
+      for (Socket s : callers) {
+        s.close();
+      }
+    }
+  }
+
+  private int connectionsOpen() throws Exception {
+    String line =
+        send("GET", "/metrics", null)
+            .body()
+            .lines()
+            .filter(l -> l.startsWith("snowturn_connections_open"))
+            .findFirst()
+            .orElseThrow();
+    return (int) Double.parseDouble(line.split(" ")[1]);
+  }
+
   private boolean keptAfterAnswer() throws Exception {
     HttpResponse<String> r = send("GET", "/v2/runs/wk-000001", null);
     assertEquals(503, r.statusCode());
