--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/CapacityModel.java
@@ -0,0 +1,42 @@
+package org.snowturn.lab;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.snowturn.lab.Measurements.Factor;
+
+/**
+ * What a role needs at a size that was not run: the line along the workers, and for each other
+ * factor its own slope from the size at which the workers were varied. It takes the factors to add
+ * up; where runs at larger sizes say otherwise, the page says so.
+ */
+final class CapacityModel {
+  private final Measurements measured;
+
+  CapacityModel(Measurements measured) {
+    this.measured = measured;
+  }
+
+  /** The slope along one factor, from the series that varies it alone. */
+  Slope slope(Factor factor, String role, String figure) {
+    return Slope.through(measured.along(factor, factor.label(), role, figure));
+  }
+
+  /** A figure at a size. */
+  double at(Map<Factor, Double> size, String role, String figure) throws BadPlanException {
+    double sum = slope(Factor.WORKERS, role, figure).at(size.get(Factor.WORKERS));
+    for (Factor f : Factor.values()) {
+      if (f != Factor.WORKERS) {
+        double base = measured.common(f, Factor.WORKERS.label());
+        sum += slope(f, role, figure).perUnit() * (size.get(f) - base);
+      }
+    }
+    return sum;
+  }
+
+  /** The same size so many times, but for what does not grow with the load. */
+  static Map<Factor, Double> times(Map<Factor, Double> size, double factor) {
+    Map<Factor, Double> out = new EnumMap<>(size);
+    out.replaceAll((f, v) -> f == Factor.CONTROLLERS ? v : v * factor);
+    return out;
+  }
+}
--- a/src/lab/java/org/snowturn/lab/Lab.java
+++ b/src/lab/java/org/snowturn/lab/Lab.java
@@ -8,7 +8,7 @@
 @Command(
     name = "snowturn-lab",
     mixinStandardHelpOptions = true,
-    subcommands = {Scale.class, Days.class},
+    subcommands = {Scale.class, Capacity.class, Days.class},
     description = "Scale runs of real controllers, their tables, and days of one's own.")
 public final class Lab {
   Lab() {}
