--- a/src/lab/java/org/snowturn/lab/Capacity.java
+++ b/src/lab/java/org/snowturn/lab/Capacity.java
@@ -22,7 +22,6 @@
     subcommands = Capacity.Add.class,
     description = "Makes the tables and plots of the capacity page from its measurements.")
 final class Capacity implements Callable<Integer> {
-  private static final String BEGIN = "<!-- table: %s -->";
   private static final String END = "<!-- end of table -->";
   private static final String RUNS = "scale-runs.csv";
   private static final String LIMITS = "limits.csv";
@@ -86,7 +85,7 @@
   }
 
   private static String replaced(String page, String name, String table) throws BadPlanException {
-    String begin = String.format(BEGIN, name);
+    String begin = "<!-- table: " + name + " -->";
     int from = page.indexOf(begin);
     int to = from < 0 ? -1 : page.indexOf(END, from);
     if (to < 0) {
--- a/src/lab/java/org/snowturn/lab/Failure.java
+++ b/src/lab/java/org/snowturn/lab/Failure.java
@@ -30,21 +30,20 @@
   static final class Reader implements ITypeConverter<Failure> {
     @Override
     public Failure convert(String text) {
-      switch (text) {
-        case "none":
-          return NONE;
-        case "leader":
-          return new Failure(Kind.LEADER, 0);
-        case "zone":
-          return new Failure(Kind.ZONE, 0);
-        case "region":
-          return new Failure(Kind.REGION, 0);
-        default:
-          if (text.matches(WORKERS + "[1-9][0-9]{0,5}")) {
-            return new Failure(Kind.WORKERS, Integer.parseInt(text.substring(WORKERS.length())));
-          }
-          throw new TypeConversionException("leader, zone, region or workers=COUNT expected");
+ return switch (text) {
+        case "none" -> NONE;
+        case "leader" -> new Failure(Kind.LEADER, 0);
+        case "zone" -> new Failure(Kind.ZONE, 0);
+        case "region" -> new Failure(Kind.REGION, 0);
+        default -> workers(text);
+      };
+    }
+
+    private static Failure workers(String text) {
+      if (!text.matches(WORKERS + "[1-9][0-9]{0,5}")) {
+        throw new TypeConversionException("leader, zone, region or workers=COUNT expected");
       }
+      return new Failure(Kind.WORKERS, Integer.parseInt(text.substring(WORKERS.length())));
     }
   }
 
--- a/src/lab/java/org/snowturn/lab/ProcessUsage.java
+++ b/src/lab/java/org/snowturn/lab/ProcessUsage.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What the kernel says that a process or one of its threads has used so far.
@@ -27,6 +29,7 @@
     long reads,
     long writes) {
 
+  private static final Logger LOG = LoggerFactory.getLogger(ProcessUsage.class);
   private static final double TICKS_PER_S = 100;
   private static final double KB_PER_MB = 1024;
 
@@ -73,8 +76,7 @@
                   io.getOrDefault("syscw", 0L));
           out.merge(role, u, ProcessUsage::plus);
         } catch (IOException e) {
-          // The thread has ended between the listing and the look at it.
-          continue;
+          LOG.debug("a thread has ended between the listing and the look at it: {}", t);
         }
       }
     }
@@ -94,7 +96,7 @@
         try {
           n += Files.readSymbolicLink(f).toString().startsWith("socket:") ? 1 : 0;
         } catch (IOException e) {
-          continue; // closed meanwhile
+          LOG.debug("closed between the listing and the look at it: {}", f);
         }
       }
     }
--- a/src/lab/java/org/snowturn/lab/Scale.java
+++ b/src/lab/java/org/snowturn/lab/Scale.java
@@ -94,7 +94,7 @@
       throw new ParameterException(spec.commandLine(), e.getMessage());
     }
     ScaleResult result;
-    try (ScaleRun run = new ScaleRun(plan, command, root, out, System.err)) {
+    try (ScaleRun run = new ScaleRun(plan, command, root, out, System.err::println)) {
       result = run.play();
     }
     ScaleFiles.write(result, out);
--- a/src/lab/java/org/snowturn/lab/ScaleRun.java
+++ b/src/lab/java/org/snowturn/lab/ScaleRun.java
@@ -1,7 +1,6 @@
 package org.snowturn.lab;
 
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import org.snowturn.sim.Region;
 import org.snowturn.sim.RegionPlan;
@@ -35,7 +35,7 @@
   private final List<String> command;
   private final Path root;
   private final Path dir;
-  private final PrintStream progress;
+  private final Consumer<String> progress;
   private final List<Part> parts = new ArrayList<>();
   private final Thread atExit = new Thread(this::killAll, "stop");
   private ScaleResult.Builder result;
@@ -58,7 +58,7 @@
     }
   }
 
-  ScaleRun(ScalePlan plan, List<String> command, Path root, Path dir, PrintStream progress) {
+  ScaleRun(ScalePlan plan, List<String> command, Path root, Path dir, Consumer<String> progress) {
     this.plan = plan;
     this.command = command;
     this.root = root;
@@ -157,7 +157,7 @@
 
   private void fail() throws IOException, InterruptedException, TimeoutException {
     Part first = parts.get(0);
-    progress.println("fails now: " + plan.failure());
+    progress.accept("fails now: " + plan.failure());
     switch (plan.failure().kind()) {
       case LEADER -> {
         ControllerProcess leader = first.named(first.region.status().leader());
@@ -201,7 +201,7 @@
 
   private void sleep(int seconds, String why) throws InterruptedException {
     if (why != null) {
-      progress.println(why);
+      progress.accept(why);
     }
     Thread.sleep(seconds * STEP_MS);
   }
@@ -222,7 +222,7 @@
               s.jobsDone(),
               s.broken().isEmpty() ? "" : ", BROKEN " + s.broken()));
     }
-    progress.println(line);
+    progress.accept(line.toString());
   }
 
   private void killAll() {
--- a/src/lab/java/org/snowturn/sim/Chaos.java
+++ b/src/lab/java/org/snowturn/sim/Chaos.java
@@ -77,7 +77,7 @@
     if (world.now > end) {
       return;
     }
-    long ms = 1000 + random.nextInt(18_000);
+    int ms = 1000 + random.nextInt(18_000);
     World.Cut how = random.nextBoolean() ? World.Cut.HOLD : World.Cut.DROP;
     StandInWorker w = worker();
     World.Node n = random.nextBoolean() && world.leader() != null ? world.leader() : node();
--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -6,16 +6,16 @@
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
 import org.snowturn.core.admission.Admission;
-import org.snowturn.core.authority.CancellationHorizon;
+import org.snowturn.core.authority.CancellationWatermark;
 import org.snowturn.core.authority.Election;
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.picture.Catalog;
+import org.snowturn.core.reach.ConnectivityMonitor;
 import org.snowturn.core.reach.Relays;
-import org.snowturn.core.reach.Surroundings;
 import org.snowturn.core.store.FormatGate;
 import org.snowturn.core.term.Leader;
+import org.snowturn.core.users.JobApi;
 import org.snowturn.core.users.LivePicture;
-import org.snowturn.core.users.UserDesk;
 import org.snowturn.wire.Command;
 
 /**
@@ -31,13 +31,13 @@
   private final Tunables tunables;
   private final Catalog catalog;
   private final FormatGate gate;
-  private final UserDesk desk;
+  private final JobApi jobApi;
   private final Election election;
-  private final Surroundings surroundings;
+  private final ConnectivityMonitor surroundings;
   private final Relays relays;
   private final Admission admission;
   private final LivePicture picture;
-  private final CancellationHorizon horizon;
+  private final CancellationWatermark watermark;
   private Leader leader;
   private long authorityAt;
 
@@ -59,17 +59,17 @@
             calls.random(),
             startedMs);
     calls.keep(admission.budget());
-    horizon = new CancellationHorizon(settings, calls, incarnation);
-    horizon.listen(this::cancelled);
+    watermark = new CancellationWatermark(settings, calls, incarnation);
+    watermark.listen(this::cancelled);
     picture = new LivePicture(settings, calls, proofs());
     catalog = new Catalog(calls);
-    election = new Election(settings, tunables, calls, horizon, incarnation, startedMs);
+    election = new Election(settings, tunables, calls, watermark, incarnation, startedMs);
     gate = new FormatGate(settings, calls);
-    surroundings = new Surroundings(settings, calls, election::stateOkAt);
+    surroundings = new ConnectivityMonitor(settings, calls, election::stateOkAt);
     election.holdBackIf(surroundings::betterElsewhere);
     relays = new Relays(settings, calls, surroundings, () -> surroundings.mine().state());
-    desk =
-        new UserDesk(
+    jobApi =
+        new JobApi(
             settings,
             calls,
             catalog,
@@ -81,36 +81,36 @@
             cancelledJobs());
   }
 
-  private UserDesk.CancelledJobs cancelledJobs() {
-    return new UserDesk.CancelledJobs() {
+  private JobApi.CancelledJobs cancelledJobs() {
+    return new JobApi.CancelledJobs() {
       @Override
       public void tell(String job) {
-        horizon.tell(job);
+        watermark.tell(job);
       }
 
       @Override
       public boolean known(String job) {
-        return horizon.cancelled(job);
+        return watermark.cancelled(job);
       }
 
       @Override
       public boolean current() {
-        return horizon.tells();
+        return watermark.tells();
       }
     };
   }
 
-  /** What the picture of the live jobs proves, the horizon of cancellations rests on. */
+  /** What the picture of the live jobs proves, the watermark of cancellations rests on. */
   private LivePicture.Listener proofs() {
     return new LivePicture.Listener() {
       @Override
       public void cancelled(String job) {
-        horizon.learn(job);
+        watermark.learn(job);
       }
 
       @Override
       public void complete(long at) {
-        horizon.read(at);
+        watermark.read(at);
       }
     };
   }
@@ -131,11 +131,11 @@
     } else if (input instanceof Input.CheckIn c) {
       checkIn(c);
     } else if (input instanceof Input.Submit s) {
-      desk.submit(s.exchange(), s.spec());
+      jobApi.submit(s.exchange(), s.spec());
     } else if (input instanceof Input.Poll p) {
-      desk.poll(p.exchange(), p.job());
+      jobApi.poll(p.exchange(), p.job());
     } else if (input instanceof Input.Cancel c) {
-      desk.cancel(c.exchange(), c.job());
+      jobApi.cancel(c.exchange(), c.job());
     } else if (input instanceof Input.FromPeer p) {
       fromPeer(p);
     }
@@ -170,7 +170,7 @@
     g.put("snowturn.format.gate", gate.open() ? 1.0 : 0.0);
     g.put("snowturn.relayed", (double) relays.relayed());
     g.putAll(surroundings.gauges());
-    g.putAll(horizon.gauges());
+    g.putAll(watermark.gauges());
     g.putAll(admission.gauges(calls.now()));
     g.put("snowturn.picture.jobs", (double) picture.size());
     g.put("snowturn.picture.proofs", (double) picture.proofs());
@@ -195,7 +195,8 @@
       leader.tick();
     }
     boolean names = leader != null && surroundings.wantsSample();
-    surroundings.tick(leader != null, names ? leader.someWorkers(Surroundings.SAMPLE) : List.of());
+    surroundings.tick(
+        leader != null, names ? leader.someWorkers(ConnectivityMonitor.SAMPLE) : List.of());
   }
 
   private void admit() {
@@ -219,10 +220,10 @@
               settings,
               tunables,
               election,
-              horizon,
+              watermark,
               catalog,
               gate,
-              desk,
+              jobApi,
               surroundings,
               rate -> admission.mayLead(rate, calls.now()));
     }
@@ -253,7 +254,7 @@
 
   private void fromPeer(Input.FromPeer p) {
     if (p.message() instanceof PeerRecord.Progress g) {
-      desk.progress(g);
+      jobApi.progress(g);
     } else if (p.message() instanceof PeerRecord.Need m) {
       admission.told(m.from(), m.need(), calls.now());
     } else if (p.message() instanceof PeerRecord.Reaches m) {
@@ -265,9 +266,9 @@
     } else if (p.message() instanceof PeerRecord.Relayed m) {
       relays.answered(m);
     } else if (p.message() instanceof PeerRecord.AskCancelled m) {
-      horizon.asked(m);
+      watermark.asked(m);
     } else if (p.message() instanceof PeerRecord.Cancelled m) {
-      horizon.heard(m);
+      watermark.heard(m);
     } else {
       election.fromPeer(p.message());
     }
--- a/src/main/java/org/snowturn/core/PeerRecord.java
+++ b/src/main/java/org/snowturn/core/PeerRecord.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.snowturn.core.admission.Needs;
-import org.snowturn.core.reach.Reach;
+import org.snowturn.core.reach.Connectivity;
 
 /** What controllers tell each other; {@code from} is the sender's name. */
 public sealed interface PeerRecord {
@@ -40,7 +40,7 @@
   record LeaseEnded(String from, long token) implements PeerRecord {}
 
   /** What the sender reaches, by its own clock. */
-  record Reaches(String from, Reach reach) implements PeerRecord {}
+  record Reaches(String from, Connectivity reach) implements PeerRecord {}
 
   /** Addresses of some workers that the sender, a leader, hears. */
   record Sample(String from, List<String> workers) implements PeerRecord {}
--- a/src/main/java/org/snowturn/core/act/Failures.java
+++ b/src/main/java/org/snowturn/core/act/Failures.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.evidence.Blame;
+import org.snowturn.core.evidence.FailureAttribution;
 import org.snowturn.core.picture.Job;
 import org.snowturn.core.picture.Machine;
 import org.snowturn.wire.JobView;
@@ -25,14 +25,14 @@
   private static final long PROVEN_BY_RUNNING_MS = 20_000;
 
   private final Calls calls;
-  private final Blame blame;
+  private final FailureAttribution blame;
   private long failed;
   private long condemned;
 
   /** Knows of no failure yet; so many of sound jobs in a row take a machine out of use. */
   public Failures(Calls calls, int sickErrors) {
     this.calls = calls;
-    this.blame = new Blame(sickErrors);
+    this.blame = new FailureAttribution(sickErrors);
   }
 
   /** The task has its result. */
--- a/src/main/java/org/snowturn/core/act/JobGraph.java
+++ b/src/main/java/org/snowturn/core/act/JobGraph.java
@@ -15,7 +15,7 @@
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.picture.Job;
 import org.snowturn.core.records.Keys;
-import org.snowturn.core.records.Recent;
+import org.snowturn.core.records.LruMap;
 import org.snowturn.core.store.FormatGate;
 import org.snowturn.core.store.JobFinder;
 import org.snowturn.core.store.Writer;
@@ -52,7 +52,7 @@
   private final Map<String, Set<Job>> waiting = new HashMap<>();
 
   private final Set<String> unknown = new LinkedHashSet<>();
-  private final Map<String, JobView.Phase> over = new Recent<>(REMEMBERED);
+  private final Map<String, JobView.Phase> over = new LruMap<>(REMEMBERED);
   private final ArrayDeque<Job> joined = new ArrayDeque<>();
   private final Set<Job> toCancel = new LinkedHashSet<>();
   private final Set<Job> cancelling = new HashSet<>();
@@ -179,7 +179,7 @@
     calls.note(
         j.spec.id()
             + " released "
-            + (j.releasedWall - j.submittedWall) / 100 / 10.0
+            + Math.round((j.releasedWall - j.submittedWall) / 100.0) / 10.0
             + " s after its submission");
     ledger.somethingChanged();
   }
--- a/src/main/java/org/snowturn/core/act/Ledger.java
+++ b/src/main/java/org/snowturn/core/act/Ledger.java
@@ -18,7 +18,7 @@
 import org.snowturn.core.picture.Quota;
 import org.snowturn.core.picture.TaskRecords;
 import org.snowturn.core.records.Keys;
-import org.snowturn.core.records.Recent;
+import org.snowturn.core.records.LruMap;
 import org.snowturn.core.records.Slot;
 import org.snowturn.core.records.StoredJob;
 import org.snowturn.core.records.TaskLayout;
@@ -64,7 +64,7 @@
   private final List<Job> byIndex = new ArrayList<>();
 
   /** Jobs that were over lately: what a watch still tells of their records is old. */
-  private final Map<String, Boolean> ended = new Recent<>(REMEMBERED);
+  private final Map<String, Boolean> ended = new LruMap<>(REMEMBERED);
 
   /** Jobs of which a record cannot be read: they are left as they are. */
   private final Set<String> aside = new HashSet<>();
--- a/src/main/java/org/snowturn/core/act/MachineRoll.java
+++ b/src/main/java/org/snowturn/core/act/MachineRegistry.java
@@ -25,7 +25,7 @@
  * of hundreds of machines the write budget of half a minute. It also tells a new leader which
  * images the machines have, so that it goes on placing tasks beside their images.
  */
-public final class MachineRoll {
+public final class MachineRegistry {
   /** First format: an entry's bytes with its images' numbers, and a page's for images' names. */
   private static final int ENTRY_BYTES = 200;
 
@@ -69,7 +69,7 @@
   private final FormatGate gate;
   private final List<Page> pages = new ArrayList<>();
 
-  public MachineRoll(Calls calls, Writer writer, MachineBook machines, FormatGate gate) {
+  public MachineRegistry(Calls calls, Writer writer, MachineBook machines, FormatGate gate) {
     this.calls = calls;
     this.writer = writer;
     this.machines = machines;
--- a/src/main/java/org/snowturn/core/admission/Floors.java
+++ b/src/main/java/org/snowturn/core/admission/Floors.java
@@ -110,7 +110,8 @@
       String label = "{group=\"" + x.name + "\"}";
       g.put("snowturn.wait.longest.seconds" + label, x.waitS);
       g.put(
-          "snowturn.served.share" + label, 1 - Math.min(1.0, x.waiting / Math.max(1.0, x.arrived)));
+          "snowturn.served.share" + label,
+          1 - Math.min(1.0, (double) x.waiting / Math.max(1, x.arrived)));
       g.put("snowturn.room.given.cpus" + label, x.given.perSecond(now));
     }
     return g;
--- a/src/main/java/org/snowturn/core/authority/CancellationHorizon.java
+++ b/src/main/java/org/snowturn/core/authority/CancellationWatermark.java
@@ -9,7 +9,7 @@
 import org.snowturn.core.PeerRecord;
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.picture.Job;
-import org.snowturn.core.records.Recent;
+import org.snowturn.core.records.LruMap;
 import org.snowturn.wire.JobSpec;
 
 /**
@@ -18,13 +18,14 @@
  * does not, while its peers go on confirming. So it renews only while whatever it may not know of
  * would still lapse in time: see {@link #current()}.
  *
- * <p>Two things move the horizon. A question to the state service that was answered shows all that
- * was confirmed before it was sent, by whichever node. And each peer tells what it has confirmed
- * itself: all of it before the leader's question was sent, since its answer was made after. What a
- * process that has ended confirmed last, its successor on the same node cannot tell, so the
- * successor's word counts only once the state service has been read after it was first heard.
+ * <p>Two things move the watermark. A question to the state service that was answered shows all
+ * that was confirmed before it was sent, by whichever node. And each peer tells what it has
+ * confirmed itself: all of it before the leader's question was sent, since its answer was made
+ * after. What a process that has ended confirmed last, its successor on the same node cannot tell,
+ * so the successor's word counts only once the state service has been read after it was first
+ * heard.
  */
-public final class CancellationHorizon {
+public final class CancellationWatermark {
   private static final double DRIFT = 0.002;
 
   /** For what a worker takes to find that its lease is over and to end its tasks. */
@@ -55,7 +56,7 @@
   private final CancellationLog told;
   private final Map<String, Peer> peers = new LinkedHashMap<>();
   private final Map<Long, Long> asks = new LinkedHashMap<>();
-  private final Map<String, Boolean> cancelled = new Recent<>(REMEMBERED);
+  private final Map<String, Boolean> cancelled = new LruMap<>(REMEMBERED);
   private Consumer<String> listener = job -> {};
   private long readUntil = Job.UNKNOWN;
   private long askSeq;
@@ -67,7 +68,7 @@
    *
    * @param incarnation a name that no other process of this node has had
    */
-  public CancellationHorizon(Settings settings, Calls calls, String incarnation) {
+  public CancellationWatermark(Settings settings, Calls calls, String incarnation) {
     this.calls = calls;
     this.node = settings.node();
     this.told = new CancellationLog(incarnation);
@@ -79,8 +80,8 @@
   }
 
   /**
-   * How long after the horizon a worker may still be answered: its lease, counted from then, ends
-   * before a cancellation just past the horizon is due. Where settings leave no such time nothing
+   * How long after the watermark a worker may still be answered: its lease, counted from then, ends
+   * before a cancellation just past the watermark is due. Where settings leave no such time nothing
    * could be served at all; then a lapse is late by what they lack.
    */
   static long slackMs(Settings s) {
--- a/src/main/java/org/snowturn/core/authority/Election.java
+++ b/src/main/java/org/snowturn/core/authority/Election.java
@@ -114,7 +114,7 @@
   private long holdOffUntil;
   private long generation;
 
-  private final CancellationHorizon horizon;
+  private final CancellationWatermark watermark;
   private boolean wasCurrent = true;
   private BooleanSupplier betterElsewhere = () -> false;
   private boolean heldBack;
@@ -149,11 +149,11 @@
       Settings settings,
       Tunables tunables,
       Calls calls,
-      CancellationHorizon horizon,
+      CancellationWatermark watermark,
       String incarnation,
       long startedAt) {
     this.startedAt = startedAt;
-    this.horizon = horizon;
+    this.watermark = watermark;
     this.backoff = calls.backoff(RETRY_LEAST_MS, RETRY_MOST_MS);
     this.settings = settings;
     this.calls = calls;
@@ -190,7 +190,7 @@
   public boolean hasAuthority() {
     return role == Role.LEADING
         && (calls.now() < authorityUntil || promisedByAll())
-        && horizon.current();
+        && watermark.current();
   }
 
   private boolean promisedByAll() {
@@ -243,7 +243,7 @@
     quiet = quiet && now < quietUntil && notLeading.size() < settings.peers().size();
     probe();
     tell();
-    horizon.tick(role == Role.LEADING);
+    watermark.tick(role == Role.LEADING);
     if (role == Role.LEADING) {
       noteHorizon();
       if (!renewing && now >= renewAt) {
@@ -277,13 +277,13 @@
   }
 
   private void noteHorizon() {
-    if (wasCurrent != horizon.current()) {
+    if (wasCurrent != watermark.current()) {
       wasCurrent = !wasCurrent;
       calls.note(
           wasCurrent
               ? "cancellations are known again: workers are answered"
               : "cancellations "
-                  + (horizon.everKnown() ? "of the last " + horizon.ageMs() + " ms " : "")
+                  + (watermark.everKnown() ? "of the last " + watermark.ageMs() + " ms " : "")
                   + "may be unknown here: workers are not answered until that is known");
     }
   }
--- a/src/main/java/org/snowturn/core/decide/Elders.java
+++ b/src/main/java/org/snowturn/core/decide/Aging.java
@@ -20,7 +20,7 @@
  * <p>Where smaller tasks take all room as soon as it is free, one that needs more of a machine
  * would never find it. For the longest waiting one a machine is kept from the others until it fits.
  */
-final class Elders {
+final class Aging {
   /** Of the room that is given lately, that which may go to them. */
   static final double SHARE = 0.15;
 
@@ -48,7 +48,7 @@
   private long lookAt;
 
   /** Lets go first what has waited so long, in seconds. */
-  Elders(double patienceS) {
+  Aging(double patienceS) {
     this.patienceMs = patienceS * 1000;
   }
 
--- a/src/main/java/org/snowturn/core/decide/Fleet.java
+++ b/src/main/java/org/snowturn/core/decide/Fleet.java
@@ -80,7 +80,7 @@
   private final Ledger ledger;
   private final Reports reports;
   private final Placer placer;
-  private final DarkZones darkZones;
+  private final ZoneOutages darkZones;
   private final FleetPolicy policy;
   private final StandingFleet standing;
   private final SpotLosses spotLosses;
@@ -118,7 +118,7 @@
       Ledger ledger,
       Reports reports,
       Placer placer,
-      DarkZones darkZones,
+      ZoneOutages darkZones,
       FleetPolicy policy,
       StandingFleet standing,
       SpotLosses spotLosses,
--- a/src/main/java/org/snowturn/core/decide/Placer.java
+++ b/src/main/java/org/snowturn/core/decide/Placer.java
@@ -56,7 +56,7 @@
   private final SpotLosses spotLosses;
   private final RoomMaker rooms;
   private final Floors floors = new Floors();
-  private final Elders elders;
+  private final Aging aging;
   private final Guarantees guarantees;
   private final Map<String, Double> startWithin = new HashMap<>();
 
@@ -71,7 +71,7 @@
   private double largestReplica;
 
   /** Whether what is placed now goes first since it has waited for long. */
-  private boolean asElder;
+  private boolean asLongWaiting;
 
   /**
    * Decides nothing yet.
@@ -90,7 +90,7 @@
       SpotLosses spotLosses,
       double beginWithinS,
       BooleanSupplier mayStop) {
-    this.elders = new Elders(beginWithinS);
+    this.aging = new Aging(beginWithinS);
     this.guarantees = new Guarantees(settings.teams());
     this.rooms = new RoomMaker(calls, ledger, this, mayStop);
     this.order = order;
@@ -144,11 +144,11 @@
     tooLarge.clear();
     rooms.begin(usable);
     trials.stream().filter(j -> now - j.backOffUntil >= OVERDUE_MS).forEach(j -> tryOne(j, usable));
-    boolean eldersWent = false;
+    boolean longWaitingWent = false;
     for (Job j : starvingFirst(order.sorted(waiting, calls.wall()))) {
-      if (!eldersWent && j.priority != Priority.PRODUCTION && !j.within) {
-        eldersWent = true;
-        letEldersGo(waiting, usable);
+      if (!longWaitingWent && j.priority != Priority.PRODUCTION && !j.within) {
+        longWaitingWent = true;
+        letLongWaitingGo(waiting, usable);
       }
       if (!placeJob(j, usable)) {
         room = false;
@@ -159,20 +159,20 @@
     return room;
   }
 
-  private void letEldersGo(List<Job> waiting, List<Machine> usable) {
-    List<Job> old = elders.begin(waiting, calls.wall());
-    elders.review(usable, calls.now());
+  private void letLongWaitingGo(List<Job> waiting, List<Machine> usable) {
+    List<Job> old = aging.begin(waiting, calls.wall());
+    aging.review(usable, calls.now());
     for (Job j : old) {
-      if (!elders.mayGo(calls.now())) {
+      if (!aging.mayGo(calls.now())) {
         return;
       }
       int before = j.pending;
-      asElder = true;
-      boolean room = placeJob(j, usable, Elders.slice(j));
-      asElder = false;
+      asLongWaiting = true;
+      boolean room = placeJob(j, usable, Aging.slice(j));
+      asLongWaiting = false;
       j.byFloor |= j.pending < before;
-      if (!room && j.pending == before && elders.mayKeep(calls.now())) {
-        elders.keep(j, soonestRoom(j, usable), calls.now());
+      if (!room && j.pending == before && aging.mayKeep(calls.now())) {
+        aging.keep(j, soonestRoom(j, usable), calls.now());
       }
     }
   }
@@ -379,7 +379,7 @@
       }
       ledger.bind(j, t, best, gang ? together : ledger.newAttempt());
       floors.given(j.group, j.spec.cpus(), calls.now());
-      elders.given(j.spec.cpus(), asElder, calls.now());
+      aging.given(j.spec.cpus(), asLongWaiting, calls.now());
       offer(candidates, j, best);
     }
     return true;
@@ -396,7 +396,7 @@
 
   private void offer(PriorityQueue<Candidate> candidates, Job j, Machine m) {
     looks++;
-    boolean kept = j.priority != Priority.PRODUCTION && elders.keptFrom(j) == m;
+    boolean kept = j.priority != Priority.PRODUCTION && aging.keptFrom(j) == m;
     if (!kept && fits(j, m)) {
       candidates.add(new Candidate(m, score(j, m)));
     }
@@ -428,7 +428,7 @@
   /** For operators: how the classes of each team are served. */
   public Map<String, Double> gauges() {
     Map<String, Double> g = new HashMap<>(floors.gauges());
-    g.putAll(elders.gauges());
+    g.putAll(aging.gauges());
     g.putAll(guarantees.gauges());
     return g;
   }
--- a/src/main/java/org/snowturn/core/decide/DarkZones.java
+++ b/src/main/java/org/snowturn/core/decide/ZoneOutages.java
@@ -9,7 +9,7 @@
  * <p>Zones that have fallen silent as a whole while others are heard are cut off: machines hired
  * there would not be heard of either, and those on their way are no help for now.
  */
-public final class DarkZones {
+public final class ZoneOutages {
   /** Fewer silent machines than this may have died one by one. */
   private static final int ENOUGH = 3;
 
@@ -22,7 +22,7 @@
 
   private boolean inReach;
 
-  public DarkZones(int zones) {
+  public ZoneOutages(int zones) {
     dark = new boolean[zones];
     heard = new int[zones];
     silent = new int[zones];
--- a/src/main/java/org/snowturn/core/evidence/Blame.java
+++ b/src/main/java/org/snowturn/core/evidence/FailureAttribution.java
@@ -20,7 +20,7 @@
  *
  * Jobs and machines are dense indices. What is kept is bounded by what has failed lately.
  */
-public final class Blame {
+public final class FailureAttribution {
   private static final int SOUND_MACHINES = 2;
   private static final int ANY_MACHINES = 4;
 
@@ -49,7 +49,7 @@
   private final int sickAfter;
 
   /** Knows of no failure yet; so many of sound jobs in a row make a machine sick. */
-  public Blame(int sickAfter) {
+  public FailureAttribution(int sickAfter) {
     this.sickAfter = sickAfter;
   }
 
--- a/src/main/java/org/snowturn/core/evidence/Contact.java
+++ b/src/main/java/org/snowturn/core/evidence/Reachability.java
@@ -15,7 +15,7 @@
  * Nothing new is placed on a machine that is in doubt, and nothing follows for what may run there:
  * that stays bound until there is proof of its end. Times are milliseconds of the steady clock.
  */
-public final class Contact {
+public final class Reachability {
   /** So many messages in vain while it reports are no accident. */
   public static final int DEAF_AFTER = 3;
 
--- a/src/main/java/org/snowturn/core/picture/Machine.java
+++ b/src/main/java/org/snowturn/core/picture/Machine.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.agrona.collections.LongHashSet;
-import org.snowturn.core.evidence.Contact;
+import org.snowturn.core.evidence.Reachability;
 import org.snowturn.wire.CloudMachine;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.MachineType;
@@ -100,7 +100,7 @@
   public long blockedForFailures;
 
   /** Whether it receives what it is sent. */
-  public final Contact contact = new Contact();
+  public final Reachability contact = new Reachability();
 
   public double workDone;
   private final double[] ratios = new double[32];
@@ -211,7 +211,7 @@
       return "unacknowledged";
     }
     if (!contact.proven()) {
-      return contact.inVain() >= Contact.DEAF_AFTER ? "deaf" : "unproven";
+      return contact.inVain() >= Reachability.DEAF_AFTER ? "deaf" : "unproven";
     }
     if (!recorded) {
       return "unrecorded";
--- a/src/main/java/org/snowturn/core/picture/SpotLosses.java
+++ b/src/main/java/org/snowturn/core/picture/SpotLosses.java
@@ -11,8 +11,8 @@
   private double taken;
 
   /** So many spot machines were up for so long. */
-  public void up(int machines, double seconds) {
-    machineS += machines * seconds;
+  public void up(int count, double seconds) {
+    machineS += count * seconds;
   }
 
   /** One was taken, with notice or without. */
--- a/src/main/java/org/snowturn/core/reach/Reach.java
+++ b/src/main/java/org/snowturn/core/reach/Connectivity.java
@@ -7,7 +7,7 @@
  *     #NEVER} if it never has
  * @param workersMs since a worker was heard or answered; {@link #NEVER} if none ever was
  */
-public record Reach(int stateMs, int workersMs) {
+public record Connectivity(int stateMs, int workersMs) {
   /** Not yet. */
   public static final int NEVER = -1;
 
--- a/src/main/java/org/snowturn/core/reach/ReachMatrix.java
+++ b/src/main/java/org/snowturn/core/reach/ConnectivityMatrix.java
@@ -9,13 +9,13 @@
  * nothing counts as unknown. Nothing of it is a ground of authority: it only says who had better
  * claim leadership, and whom to ask for help.
  */
-public final class ReachMatrix {
+public final class ConnectivityMatrix {
   /** Rows come every 300 ms; three may be lost. */
   private static final long STALE_MS = 1_200;
 
   private static final long LATER_MS = 400;
 
-  private record Row(Reach reach, long at) {}
+  private record Row(Connectivity reach, long at) {}
 
   private final Map<String, Row> rows = new TreeMap<>();
 
@@ -25,7 +25,7 @@
    * @param nowMs this node's steady clock
    * @return whether that is news: whether its state service or its workers came or went
    */
-  public boolean told(String peer, Reach reach, long nowMs) {
+  public boolean told(String peer, Connectivity reach, long nowMs) {
     Row before = rows.put(peer, new Row(reach, nowMs));
     return before == null
         || before.reach.state() != reach.state()
@@ -42,11 +42,11 @@
    * heard workers lately, it has to have heard them later, and by more than what probes and records
    * take: in the first seconds of a cut, all rows still show what was before it.
    */
-  public boolean better(Reach mine, long nowMs) {
+  public boolean better(Connectivity mine, long nowMs) {
     for (Row r : rows.values()) {
       boolean serves = fresh(r, nowMs) && r.reach.serves();
       long heard = r.reach.workersMs() + (nowMs - r.at);
-      boolean later = mine.workersMs() == Reach.NEVER || heard + LATER_MS < mine.workersMs();
+      boolean later = mine.workersMs() == Connectivity.NEVER || heard + LATER_MS < mine.workersMs();
       if (serves && (later || !mine.state())) {
         return true;
       }
@@ -58,7 +58,7 @@
   public String withState(long nowMs) {
     String found = null;
     for (Map.Entry<String, Row> e : rows.entrySet()) {
-      Reach r = e.getValue().reach;
+      Connectivity r = e.getValue().reach;
       if (fresh(e.getValue(), nowMs) && r.state() && (found == null || r.workers())) {
         found = e.getKey();
       }
@@ -67,8 +67,8 @@
   }
 
   /** The rows that say something now, by the peers' names. */
-  public Map<String, Reach> rows(long nowMs) {
-    Map<String, Reach> out = new TreeMap<>();
+  public Map<String, Connectivity> rows(long nowMs) {
+    Map<String, Connectivity> out = new TreeMap<>();
     rows.forEach(
         (peer, row) -> {
           if (fresh(row, nowMs)) {
--- a/src/main/java/org/snowturn/core/reach/Surroundings.java
+++ b/src/main/java/org/snowturn/core/reach/ConnectivityMonitor.java
@@ -16,7 +16,7 @@
  * workers only when they look for a leader, so the leader names a few of them, which the others ask
  * now and then whether they answer.
  */
-public final class Surroundings {
+public final class ConnectivityMonitor {
   /** What goes round in a sample, and how often. */
   public static final int SAMPLE = 6;
 
@@ -28,21 +28,21 @@
   private final Settings settings;
   private final Calls calls;
   private final LongSupplier stateOkAt;
-  private final ReachMatrix matrix = new ReachMatrix();
+  private final ConnectivityMatrix matrix = new ConnectivityMatrix();
   private List<String> sample = List.of();
   private int next;
   private long workersAt = Job.UNKNOWN;
   private long probeAt;
   private long tellAt;
   private long sampleAt;
-  private Reach shown;
+  private Connectivity shown;
 
   /**
    * Knows nothing yet.
    *
    * @param stateOkAt when the last request that the state service answered was sent
    */
-  public Surroundings(Settings settings, Calls calls, LongSupplier stateOkAt) {
+  public ConnectivityMonitor(Settings settings, Calls calls, LongSupplier stateOkAt) {
     this.settings = settings;
     this.calls = calls;
     this.stateOkAt = stateOkAt;
@@ -54,12 +54,14 @@
   }
 
   /** What this node reaches. */
-  public Reach mine() {
-    return new Reach(age(stateOkAt.getAsLong()), age(workersAt));
+  public Connectivity mine() {
+    return new Connectivity(age(stateOkAt.getAsLong()), age(workersAt));
   }
 
   private int age(long at) {
-    return at == Job.UNKNOWN ? Reach.NEVER : (int) Math.min(Integer.MAX_VALUE, calls.now() - at);
+    return at == Job.UNKNOWN
+        ? Connectivity.NEVER
+        : (int) Math.min(Integer.MAX_VALUE, calls.now() - at);
   }
 
   /** Whether a peer could serve where this node cannot. */
@@ -108,7 +110,7 @@
     }
     if (now >= tellAt) {
       tellAt = now + TELL_MS;
-      Reach mine = mine();
+      Connectivity mine = mine();
       if (shown == null || shown.state() != mine.state() || shown.workers() != mine.workers()) {
         shown = mine;
         calls.note(settings.node() + " reaches " + words(mine));
@@ -138,7 +140,7 @@
     return settings.peers().stream().anyMatch(p -> p.node().equals(node));
   }
 
-  private static String words(Reach r) {
+  private static String words(Connectivity r) {
     return "the state service: "
         + (r.state() ? "yes" : "no")
         + ", workers: "
@@ -153,7 +155,7 @@
     return g;
   }
 
-  private static void put(Map<String, Double> g, String node, Reach r) {
+  private static void put(Map<String, Double> g, String node, Connectivity r) {
     g.put("snowturn.reach.state{node=\"" + node + "\"}", r.state() ? 1.0 : 0.0);
     g.put("snowturn.reach.workers{node=\"" + node + "\"}", r.workers() ? 1.0 : 0.0);
   }
--- a/src/main/java/org/snowturn/core/reach/Relays.java
+++ b/src/main/java/org/snowturn/core/reach/Relays.java
@@ -27,7 +27,7 @@
 
   private final Settings settings;
   private final Calls calls;
-  private final Surroundings surroundings;
+  private final ConnectivityMonitor surroundings;
   private final BooleanSupplier ownLink;
   private final Map<Long, Calls.Then> open = new HashMap<>();
   private int forPeers;
@@ -40,7 +40,7 @@
    * @param ownLink whether the state service answers this node
    */
   public Relays(
-      Settings settings, Calls calls, Surroundings surroundings, BooleanSupplier ownLink) {
+      Settings settings, Calls calls, ConnectivityMonitor surroundings, BooleanSupplier ownLink) {
     this.settings = settings;
     this.calls = calls;
     this.surroundings = surroundings;
--- a/src/main/java/org/snowturn/core/reach/Hearing.java
+++ b/src/main/java/org/snowturn/core/reach/WorkerSilence.java
@@ -6,7 +6,7 @@
  * be deleted. Counted in sweeps, not by the clock: a node that stood still has not listened
  * meanwhile.
  */
-public final class Hearing {
+public final class WorkerSilence {
   /** So many sweeps without a report, where so many reports were due, are no accident. */
   private static final int SWEEPS = 6;
 
@@ -31,7 +31,7 @@
    * @param sweepMs the time between two sweeps
    * @param reportS the interval of the workers' reports
    */
-  public Hearing(long sweepMs, double reportS) {
+  public WorkerSilence(long sweepMs, double reportS) {
     this.sweepMs = sweepMs;
     this.reportS = reportS;
   }
--- a/src/main/java/org/snowturn/core/records/Recent.java
+++ b/src/main/java/org/snowturn/core/records/LruMap.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 
 /** Remembers a bounded number of things, those used last. */
-public final class Recent<K, V> extends LinkedHashMap<K, V> {
+public final class LruMap<K, V> extends LinkedHashMap<K, V> {
   private final int most;
 
-  public Recent(int most) {
+  public LruMap(int most) {
     super(64, 0.75f, true);
     this.most = most;
   }
--- a/src/main/java/org/snowturn/core/recovery/Backoff.java
+++ b/src/main/java/org/snowturn/core/recovery/Backoff.java
@@ -40,7 +40,8 @@
   public long next(long retryAfterMs) {
     long upper = nextMs;
     nextMs = Math.min(mostMs, upper * 2);
-    long ours = upper - (long) (random.nextDouble() * (upper / 2));
+    long half = upper / 2;
+    long ours = upper - (long) (random.nextDouble() * half);
     return Math.max(ours, retryAfterMs);
   }
 
--- a/src/main/java/org/snowturn/core/store/JobFinder.java
+++ b/src/main/java/org/snowturn/core/store/JobFinder.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.TreeSet;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Purpose;
@@ -124,7 +125,7 @@
         });
   }
 
-  private void range(int place, TreeSet<String> wanted) {
+  private void range(int place, NavigableSet<String> wanted) {
     if (wanted.isEmpty()) {
       finishIfAllAnswered();
       return;
@@ -158,7 +159,7 @@
   }
 
   private void take(
-      int place, TreeSet<String> wanted, List<StateMessage.Entry> page, boolean more) {
+      int place, NavigableSet<String> wanted, List<StateMessage.Entry> page, boolean more) {
     String last = null;
     for (StateMessage.Entry e : page) {
       last = e.key().substring(order.get(place).length());
--- a/src/main/java/org/snowturn/core/term/Lookout.java
+++ b/src/main/java/org/snowturn/core/term/HealthChecks.java
@@ -6,22 +6,22 @@
 import org.snowturn.core.act.Failures;
 import org.snowturn.core.act.Reports;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.decide.DarkZones;
 import org.snowturn.core.decide.Fleet;
-import org.snowturn.core.evidence.Contact;
+import org.snowturn.core.decide.ZoneOutages;
+import org.snowturn.core.evidence.Reachability;
 import org.snowturn.core.picture.Catalog;
 import org.snowturn.core.picture.Job;
 import org.snowturn.core.picture.Machine;
 import org.snowturn.core.picture.MachineBook;
-import org.snowturn.core.reach.Hearing;
-import org.snowturn.core.reach.Surroundings;
+import org.snowturn.core.reach.ConnectivityMonitor;
+import org.snowturn.core.reach.WorkerSilence;
 import org.snowturn.wire.Report;
 
 /**
  * A term's look at its machines: which are silent, which receive nothing, whose silence it is, and
  * what is replaced for it. It deletes, which is proof, and asks; it never takes anything for ended.
  */
-final class Lookout {
+final class HealthChecks {
   /** The time between two looks at all machines. */
   static final long SWEEP_MS = 250;
 
@@ -41,10 +41,10 @@
   private final Reports reports;
   private final Failures failures;
   private final Fleet fleet;
-  private final DarkZones darkZones;
-  private final Takeover takeover;
-  private final Surroundings surroundings;
-  private final Hearing hearing;
+  private final ZoneOutages darkZones;
+  private final TermRecovery takeover;
+  private final ConnectivityMonitor surroundings;
+  private final WorkerSilence hearing;
   private final long startedAt;
   private int haveBeenUp;
 
@@ -56,7 +56,7 @@
 
   private long lateReports;
 
-  Lookout(
+  HealthChecks(
       Calls calls,
       Settings settings,
       Catalog catalog,
@@ -64,9 +64,9 @@
       Reports reports,
       Failures failures,
       Fleet fleet,
-      DarkZones darkZones,
-      Takeover takeover,
-      Surroundings surroundings) {
+      ZoneOutages darkZones,
+      TermRecovery takeover,
+      ConnectivityMonitor surroundings) {
     this.calls = calls;
     this.settings = settings;
     this.catalog = catalog;
@@ -77,7 +77,7 @@
     this.darkZones = darkZones;
     this.takeover = takeover;
     this.surroundings = surroundings;
-    this.hearing = new Hearing(SWEEP_MS, settings.workers().reportS());
+    this.hearing = new WorkerSilence(SWEEP_MS, settings.workers().reportS());
     this.startedAt = calls.now();
   }
 
@@ -140,8 +140,8 @@
     m.blockedUntil = Math.max(m.blockedUntil, calls.now() + UNANSWERED_MS);
     takeover.unanswered(m);
     hearing.unanswered();
-    if (m.contact.inVain() == Contact.DEAF_AFTER) {
-      calls.note(m.id + " has left " + Contact.DEAF_AFTER + " messages in a row unanswered");
+    if (m.contact.inVain() == Reachability.DEAF_AFTER) {
+      calls.note(m.id + " has left " + Reachability.DEAF_AFTER + " messages in a row unanswered");
     }
     if (m.probing || (hasBeenUp(m) && quiet(m))) {
       m.probing = false;
@@ -236,7 +236,7 @@
       failures.review(m);
       if (!quiet && !m.deleting && !m.contact.proven()) {
         prove(m);
-        deafNow += m.contact.inVain() >= Contact.DEAF_AFTER ? 1 : 0;
+        deafNow += m.contact.inVain() >= Reachability.DEAF_AFTER ? 1 : 0;
         if (m.contact.deaf(now, deafMs()) && deaf * 2 < haveBeenUp && replaceable()) {
           fleet.discard(m, "reports, but receives nothing");
         }
--- a/src/main/java/org/snowturn/core/term/Leader.java
+++ b/src/main/java/org/snowturn/core/term/Leader.java
@@ -15,21 +15,21 @@
 import org.snowturn.core.act.Failures;
 import org.snowturn.core.act.JobGraph;
 import org.snowturn.core.act.Ledger;
-import org.snowturn.core.act.MachineRoll;
+import org.snowturn.core.act.MachineRegistry;
 import org.snowturn.core.act.Orders;
 import org.snowturn.core.act.Outbox;
 import org.snowturn.core.act.Reports;
 import org.snowturn.core.admission.Purpose;
-import org.snowturn.core.authority.CancellationHorizon;
+import org.snowturn.core.authority.CancellationWatermark;
 import org.snowturn.core.authority.Election;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.decide.DarkZones;
 import org.snowturn.core.decide.Fleet;
 import org.snowturn.core.decide.FleetPolicy;
 import org.snowturn.core.decide.Placer;
 import org.snowturn.core.decide.Speculator;
 import org.snowturn.core.decide.StandingFleet;
 import org.snowturn.core.decide.WaitingOrder;
+import org.snowturn.core.decide.ZoneOutages;
 import org.snowturn.core.picture.Catalog;
 import org.snowturn.core.picture.Job;
 import org.snowturn.core.picture.Machine;
@@ -37,13 +37,13 @@
 import org.snowturn.core.picture.Quota;
 import org.snowturn.core.picture.RestartRecords;
 import org.snowturn.core.picture.SpotLosses;
-import org.snowturn.core.reach.Surroundings;
+import org.snowturn.core.reach.ConnectivityMonitor;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.StoredJob;
 import org.snowturn.core.store.FormatGate;
 import org.snowturn.core.store.Loader;
 import org.snowturn.core.store.Writer;
-import org.snowturn.core.users.UserDesk;
+import org.snowturn.core.users.JobApi;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.JobView;
 import org.snowturn.wire.MalformedException;
@@ -58,9 +58,9 @@
   private final Calls calls;
   private final Settings settings;
   private final Election election;
-  private final CancellationHorizon horizon;
+  private final CancellationWatermark watermark;
   private final Catalog catalog;
-  private final UserDesk desk;
+  private final JobApi jobApi;
   private final long token;
 
   private final MachineBook machines;
@@ -72,11 +72,11 @@
   private final Placer placer;
   private final Speculator speculator;
   private final Fleet fleet;
-  private final MachineRoll roll;
+  private final MachineRegistry registry;
   private final FormatGate gate;
   private final JobGraph graph;
-  private final Takeover takeover;
-  private final Lookout lookout;
+  private final TermRecovery termRecovery;
+  private final HealthChecks healthChecks;
   private final Map<String, PeerRecord.Progress> told = new HashMap<>();
   private final ArrayDeque<Outbox> toSend = new ArrayDeque<>();
   private boolean secondFormat;
@@ -95,25 +95,25 @@
       Settings settings,
       Tunables tunables,
       Election election,
-      CancellationHorizon horizon,
+      CancellationWatermark watermark,
       Catalog catalog,
       FormatGate gate,
-      UserDesk desk,
-      Surroundings surroundings,
+      JobApi jobApi,
+      ConnectivityMonitor surroundings,
       DoubleUnaryOperator share) {
     this.calls = calls;
     this.gate = gate;
     this.settings = settings;
     this.election = election;
-    this.horizon = horizon;
+    this.watermark = watermark;
     this.catalog = catalog;
-    this.desk = desk;
+    this.jobApi = jobApi;
     this.token = election.token();
     machines = new MachineBook(settings.zones(), m -> new Outbox(calls, this, m));
     writer = new Writer(calls, this, gate::limits, share);
     StandingFleet standing = new StandingFleet(calls, writer);
     FleetPolicy policy = FleetPolicy.of(settings, catalog::quickestBootS, standing::present);
-    Cancellations cancellations = cancellations(horizon);
+    Cancellations cancellations = cancellations(watermark);
     ledger =
         new Ledger(
             calls, gate, writer, machines, new Quota(settings.teams()), cancellations, token);
@@ -128,7 +128,7 @@
             j.cancelTold = cancellations.known(j.spec.id());
           }
         });
-    roll = new MachineRoll(calls, writer, machines, gate);
+    registry = new MachineRegistry(calls, writer, machines, gate);
     SpotLosses spotLosses = new SpotLosses();
     reports = new Reports(calls, settings, failures, ledger, machines, catalog, spotLosses, token);
     orders = new Orders(ledger, cancellations, token);
@@ -145,7 +145,7 @@
             tunables.beginWithinS(),
             this::mostHeard);
     speculator = new Speculator(calls, tunables, ledger, machines, placer, writer, gate);
-    DarkZones darkZones = new DarkZones(machines.zoneCount());
+    ZoneOutages darkZones = new ZoneOutages(machines.zoneCount());
     fleet =
         new Fleet(
             calls,
@@ -161,20 +161,20 @@
             standing,
             spotLosses,
             token);
-    takeover =
-        new Takeover(
+    termRecovery =
+        new TermRecovery(
             calls,
             writer,
-            horizon,
+            watermark,
             catalog,
             gate,
             ledger,
             machines,
-            roll,
+            registry,
             this::loadRestarts,
             () -> ended);
-    lookout =
-        new Lookout(
+    healthChecks =
+        new HealthChecks(
             calls,
             settings,
             catalog,
@@ -183,33 +183,33 @@
             failures,
             fleet,
             darkZones,
-            takeover,
+            termRecovery,
             surroundings);
     standing.look();
-    takeover.begin(this::loaded);
+    termRecovery.begin(this::loaded);
   }
 
-  private static Cancellations cancellations(CancellationHorizon horizon) {
+  private static Cancellations cancellations(CancellationWatermark watermark) {
     return new Cancellations() {
       @Override
       public boolean known(String job) {
-        return horizon.cancelled(job);
+        return watermark.cancelled(job);
       }
 
       @Override
       public long knownUntil() {
-        return horizon.knownUntil();
+        return watermark.knownUntil();
       }
 
       @Override
       public boolean lapsesInTime(long confirmedAfter) {
-        return horizon.lapsesInTime(confirmedAfter);
+        return watermark.lapsesInTime(confirmedAfter);
       }
     };
   }
 
   private boolean mostHeard() {
-    return takeover.mostHeard();
+    return termRecovery.mostHeard();
   }
 
   /** A user was told, by whichever node, that the job is cancelled. */
@@ -288,7 +288,7 @@
     g.put("snowturn.tasks.waiting", (double) pending);
     g.put("snowturn.tasks.bound", (double) bound);
     g.put("snowturn.machines", (double) machines.present().size());
-    g.putAll(lookout.gauges());
+    g.putAll(healthChecks.gauges());
     g.putAll(failures.gauges());
     g.put("snowturn.restarts", (double) speculator.restarts());
     g.put("snowturn.writes.waiting", (double) writer.waiting());
@@ -296,7 +296,7 @@
     g.put("snowturn.placements.looks", (double) placer.looks());
     g.put("snowturn.outboxes.looks", (double) outboxLooks);
     g.put("snowturn.starts.repeated", (double) orders.repeatedStarts());
-    g.putAll(takeover.gauges());
+    g.putAll(termRecovery.gauges());
     g.putAll(placer.gauges());
     return g;
   }
@@ -305,7 +305,7 @@
 
   /** All records are known: what machines have reported meanwhile is taken in at once. */
   private void loaded(Map<Machine, Report> early) {
-    watchFrom = takeover.watchFrom();
+    watchFrom = termRecovery.watchFrom();
     early.forEach(
         (m, r) -> {
           if (!m.gone) {
@@ -336,7 +336,7 @@
       return;
     }
     if (StoredJob.phaseOf(e.value()) == JobView.Phase.ABORTED) {
-      horizon.learn(id);
+      watermark.learn(id);
     }
     try {
       ledger.record(id, StoredJob.parse(e.value()), e.stamp());
@@ -367,7 +367,7 @@
           try {
             StateMessage.events(body).forEach(this::onJobRecord);
             watchFrom = Math.max(watchFrom, StateMessage.epoch(body));
-            horizon.read(sentAt);
+            watermark.read(sentAt);
             ledger.retryFinishing();
           } catch (MalformedException e) {
             watchRetryAt = calls.now() + 200;
@@ -407,19 +407,19 @@
       calls.refuse(exchange, 503, 0);
       return;
     }
-    if (!takeover.loaded()) {
-      takeover.keep(m, r);
+    if (!termRecovery.loaded()) {
+      termRecovery.keep(m, r);
       m.lastAnswerAt = calls.now();
       calls.answer(exchange, 200, Command.answer(token, orders.stops(r)));
       return;
     }
-    if (lookout.late(m, r)) {
+    if (healthChecks.late(m, r)) {
       calls.refuse(exchange, 503, 0);
       return;
     }
-    lookout.heard();
+    healthChecks.heard();
     take(m, r);
-    lookout.checkedIn(m, r);
+    healthChecks.checkedIn(m, r);
     Orders.Answer answer = orders.to(m, r);
     if (!answer.renews()) {
       calls.note(m.id + " may still start what is cancelled: its lease is not renewed");
@@ -433,8 +433,8 @@
   @Override
   public void reported(Report r) {
     Machine m = machines.find(r.machine());
-    if (!ended && takeover.loaded() && m != null && !m.gone) {
-      lookout.answered(m, r);
+    if (!ended && termRecovery.loaded() && m != null && !m.gone) {
+      healthChecks.answered(m, r);
       take(m, r);
       if (!m.contact.proven()) {
         m.contact.answered();
@@ -455,7 +455,7 @@
     }
     if (!m.recorded && !m.recording && m.shape != null) {
       m.recording = true;
-      roll.enter(
+      registry.enter(
           m,
           () -> {
             m.recorded = true;
@@ -463,7 +463,7 @@
           });
     }
     reports.apply(m, r);
-    takeover.heard(m);
+    termRecovery.heard(m);
   }
 
   @Override
@@ -473,7 +473,7 @@
 
   @Override
   public void unanswered(Machine m) {
-    lookout.unanswered(m);
+    healthChecks.unanswered(m);
   }
 
   // --- the loop ---
@@ -482,8 +482,8 @@
     if (ended) {
       return;
     }
-    takeover.tick();
-    if (!takeover.loaded()) {
+    termRecovery.tick();
+    if (!termRecovery.loaded()) {
       return;
     }
     long now = calls.now();
@@ -494,16 +494,16 @@
       return;
     }
     if (now >= sweepAt) {
-      sweepAt = now + Lookout.SWEEP_MS;
+      sweepAt = now + HealthChecks.SWEEP_MS;
       if (gate.open() && !secondFormat) {
         secondFormat = !ledger.useSecondFormat();
       }
-      String leave = lookout.sweep();
+      String leave = healthChecks.sweep();
       if (leave != null) {
         election.resign(leave);
       }
-      roll.sweep();
-      takeover.sweep();
+      registry.sweep();
+      termRecovery.sweep();
       fleet.tick();
       ledger.somethingChanged();
       ledger.retryFinishing();
@@ -532,7 +532,7 @@
     if (ended) {
       return;
     }
-    if (takeover.loaded()) {
+    if (termRecovery.loaded()) {
       graph.step();
     }
     writer.flush();
@@ -605,7 +605,7 @@
       PeerRecord.Progress p =
           new PeerRecord.Progress(settings.node(), j.spec.id(), j.done, j.running);
       if (!p.equals(told.put(j.spec.id(), p))) {
-        desk.progress(p);
+        jobApi.progress(p);
         calls.toPeers(p);
       }
     }
--- a/src/main/java/org/snowturn/core/term/Takeover.java
+++ b/src/main/java/org/snowturn/core/term/TermRecovery.java
@@ -10,10 +10,10 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.snowturn.core.act.Ledger;
-import org.snowturn.core.act.MachineRoll;
+import org.snowturn.core.act.MachineRegistry;
 import org.snowturn.core.act.Reports;
 import org.snowturn.core.act.SubmissionParts;
-import org.snowturn.core.authority.CancellationHorizon;
+import org.snowturn.core.authority.CancellationWatermark;
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.picture.Catalog;
 import org.snowturn.core.picture.Job;
@@ -37,7 +37,7 @@
  * machines what of it is still so, a few at a time and the most useful first. It never holds back a
  * decision: whatever machine has shown the token may get work while others are still to be asked.
  */
-public final class Takeover {
+public final class TermRecovery {
   /** After a question without an answer, the same machine is asked again so much later. */
   private static final long AGAIN_MS = 500;
 
@@ -67,12 +67,12 @@
 
   private final Calls calls;
   private final Writer writer;
-  private final CancellationHorizon horizon;
+  private final CancellationWatermark watermark;
   private final Catalog catalog;
   private final FormatGate gate;
   private final Ledger ledger;
   private final MachineBook machines;
-  private final MachineRoll roll;
+  private final MachineRegistry roll;
   private final BiConsumer<String, StateMessage.Entry> restarts;
   private final BooleanSupplier ended;
   private final Phases phases;
@@ -98,20 +98,20 @@
    * @param restarts takes a job's id and its stored counter of restarts
    * @param ended whether the term is over: nothing more is to be done
    */
-  public Takeover(
+  public TermRecovery(
       Calls calls,
       Writer writer,
-      CancellationHorizon horizon,
+      CancellationWatermark watermark,
       Catalog catalog,
       FormatGate gate,
       Ledger ledger,
       MachineBook machines,
-      MachineRoll roll,
+      MachineRegistry roll,
       BiConsumer<String, StateMessage.Entry> restarts,
       BooleanSupplier ended) {
     this.calls = calls;
     this.writer = writer;
-    this.horizon = horizon;
+    this.watermark = watermark;
     this.catalog = catalog;
     this.gate = gate;
     this.ledger = ledger;
@@ -222,7 +222,7 @@
       }
     }
     stopCancelled();
-    horizon.read(jobsAskedAt);
+    watermark.read(jobsAskedAt);
     enter(Phase.ASKING);
     calls.note(
         "took over "
@@ -274,7 +274,7 @@
     for (StateMessage.Entry e : read.get(Keys.JOBS).entries()) {
       String id = e.key().substring(Keys.JOBS.length());
       if (StoredJob.phaseOf(e.value()) == JobView.Phase.ABORTED) {
-        horizon.learn(id);
+        watermark.learn(id);
       }
       boolean read =
           readable(
--- a/src/main/java/org/snowturn/core/users/UserDesk.java
+++ b/src/main/java/org/snowturn/core/users/JobApi.java
@@ -22,7 +22,7 @@
 import org.snowturn.core.picture.Quota;
 import org.snowturn.core.reach.Relays;
 import org.snowturn.core.records.Keys;
-import org.snowturn.core.records.Recent;
+import org.snowturn.core.records.LruMap;
 import org.snowturn.core.records.StoredJob;
 import org.snowturn.core.store.FormatGate;
 import org.snowturn.core.store.JobFinder;
@@ -39,7 +39,7 @@
  * conditional transaction, a poll reads. What a user has been told is therefore durable, and no
  * node can know less. Only the counts, which are for display, come from the leader.
  */
-public final class UserDesk {
+public final class JobApi {
   /** What this node knows of cancellations. */
   public interface CancelledJobs {
     /** A user is about to be told. */
@@ -67,14 +67,14 @@
   private final Relays relays;
   private final SubmitGate gate;
   private final LivePicture picture;
-  private final Map<String, JobView> over = new Recent<>(REMEMBERED);
+  private final Map<String, JobView> over = new LruMap<>(REMEMBERED);
 
   /** Jobs known to have been accepted, and whether they are services: neither ever changes. */
-  private final Map<String, Boolean> accepted = new Recent<>(5_000);
+  private final Map<String, Boolean> accepted = new LruMap<>(5_000);
 
-  private final Map<String, PeerRecord.Progress> progress = new Recent<>(5_000);
+  private final Map<String, PeerRecord.Progress> progress = new LruMap<>(5_000);
 
-  public UserDesk(
+  public JobApi(
       Settings settings,
       Calls calls,
       Catalog catalog,
--- a/src/main/java/org/snowturn/net/HttpCaller.java
+++ b/src/main/java/org/snowturn/net/HttpCaller.java
@@ -47,7 +47,6 @@
 
   private record Idle(ClientConnection connection, long sinceNanos) {}
 
-  private final InetSocketAddress addr;
   private final URI uri;
   private final String host;
   private final XnioIoThread io;
@@ -60,7 +59,6 @@
   /** A caller that has not connected yet. */
   public HttpCaller(
       InetSocketAddress addr, XnioIoThread io, ByteBufferPool buffers, int maxConnections) {
-    this.addr = addr;
     this.host = addr.getAddress().getHostAddress() + ":" + addr.getPort();
     this.uri = URI.create("http://" + host);
     this.io = io;
--- a/src/main/java/org/snowturn/peer/PeerCodec.java
+++ b/src/main/java/org/snowturn/peer/PeerCodec.java
@@ -14,7 +14,7 @@
 import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
 import org.snowturn.core.admission.Needs;
-import org.snowturn.core.reach.Reach;
+import org.snowturn.core.reach.Connectivity;
 import org.snowturn.wire.Json;
 
 /**
@@ -151,7 +151,7 @@
               from, in.readLong(), in.readLong(), in.readInt(), in.readBoolean());
       case RESIGN -> new PeerRecord.Resign(from, in.readLong(), in.readLong());
       case PROGRESS -> new PeerRecord.Progress(from, in.readUTF(), in.readInt(), in.readInt());
-      case REACHES -> new PeerRecord.Reaches(from, new Reach(in.readInt(), in.readInt()));
+      case REACHES -> new PeerRecord.Reaches(from, new Connectivity(in.readInt(), in.readInt()));
       case SAMPLE -> new PeerRecord.Sample(from, texts(in));
       case RELAY -> {
         String to = in.readUTF();
--- a/src/test/java/org/snowturn/core/authority/CancellationHorizonTest.java
+++ b/src/test/java/org/snowturn/core/authority/CancellationWatermarkTest.java
@@ -25,7 +25,7 @@
  * other is lost, doubled and late, and the state service is read now and then. Whatever the leader
  * takes for known, it knows.
  */
-class CancellationHorizonTest {
+class CancellationWatermarkTest {
   private static final String LEADER = "n0";
 
   /** A node with the life that it is in. */
@@ -33,7 +33,7 @@
     final String name;
     int life;
     Calls calls;
-    CancellationHorizon horizon;
+    CancellationWatermark horizon;
 
     Node(String name, long now) {
       this.name = name;
@@ -44,7 +44,7 @@
       life++;
       calls = new Calls(31L * life + name.hashCode());
       calls.at(now, now);
-      horizon = new CancellationHorizon(TestSettings.of(name), calls, name + "-" + life);
+      horizon = new CancellationWatermark(TestSettings.of(name), calls, name + "-" + life);
     }
   }
 
@@ -211,7 +211,7 @@
   void aNewLifeSaysNothingOfItsPredecessor() {
     Nodes n = quiet();
     n.all.get(1).begin(n.now);
-    long slack = CancellationHorizon.slackMs(TestSettings.of(LEADER));
+    long slack = CancellationWatermark.slackMs(TestSettings.of(LEADER));
     for (long t = 0; t <= slack + 1_000; t += 100) {
       step(n, 100);
     }
@@ -250,7 +250,7 @@
   @Test
   void impossibleListsMoveNothingAndAreCounted() {
     Nodes n = quiet();
-    CancellationHorizon h = n.leader().horizon;
+    CancellationWatermark h = n.leader().horizon;
     long before = h.knownUntil();
     List<String> job = List.of("wk-1");
     List<PeerRecord.Cancelled> wrong = new ArrayList<>();
--- a/src/test/java/org/snowturn/core/decide/EldersTest.java
+++ b/src/test/java/org/snowturn/core/decide/AgingTest.java
@@ -17,7 +17,7 @@
  * Whatever the stream of small jobs, each large one begins in bounded time, at no more than the
  * stated cost; the order that it is held against is least work first, always with more to do.
  */
-class EldersTest {
+class AgingTest {
   private static final double PATIENCE_S = 90;
   private static final long STEP_MS = 250;
 
@@ -34,7 +34,7 @@
       @ForAll long seed)
       throws Exception {
     Random random = new Random(seed);
-    Elders elders = new Elders(PATIENCE_S);
+    Aging elders = new Aging(PATIENCE_S);
     List<Job> waiting = new ArrayList<>();
     for (int i = 0; i < jobs; i++) {
       waiting.add(large(i, tasks, random.nextInt(20_000)));
@@ -48,7 +48,7 @@
         if (!elders.mayGo(now)) {
           break;
         }
-        for (int i = 0; i < Elders.slice(j) && room > 0 && j.pending > 0; i++, room--) {
+        for (int i = 0; i < Aging.slice(j) && room > 0 && j.pending > 0; i++, room--) {
           begun[j.index] = begun[j.index] == 0 ? now : begun[j.index];
           j.pending--;
           j.placedWall = now;
@@ -65,12 +65,12 @@
     }
     // All of them want a slice at once; what they get together is their share of the room.
     double slices = jobs * Math.max(1, tasks / 8.0);
-    double perSecond = roomEachStep * 1000.0 / STEP_MS * Elders.SHARE;
+    double perSecond = roomEachStep * 1000.0 / STEP_MS * Aging.SHARE;
     double bound = 20_000 + PATIENCE_S * 1000 + 5_000 + 1.5 * 1000 * slices / perSecond;
     for (double at : begun) {
       assertTrue(at > 0 && at <= bound, "begun at " + at + ", bound " + bound);
     }
-    double most = Elders.SHARE * given * 1.2 + slices;
+    double most = Aging.SHARE * given * 1.2 + slices;
     assertTrue(toElders <= most, toElders + " of " + given);
   }
 }
--- a/src/test/java/org/snowturn/core/evidence/BlameTest.java
+++ b/src/test/java/org/snowturn/core/evidence/FailureAttributionTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Jobs and machines judged by each other, in any order of what happens. */
-class BlameTest {
+class FailureAttributionTest {
   private static final int SICK_AFTER = 3;
 
   /** Jobs and machines below these numbers are broken and sick; both may be none or half of all. */
@@ -54,7 +54,7 @@
 
   @Property(tries = 400, seed = "32")
   void noSoundMachineIsCondemnedAndNoSoundJobStaysSuspect(@ForAll("worlds") World w) {
-    Blame b = new Blame(SICK_AFTER);
+    FailureAttribution b = new FailureAttribution(SICK_AFTER);
     Set<Integer> proven = new HashSet<>();
     int[] soundFailures = new int[w.machines];
     int[] failuresOfJob = new int[w.jobs];
@@ -99,7 +99,7 @@
 
   @Test
   void whatAJobToldOfAMachineOutlivesIt() {
-    Blame b = new Blame(SICK_AFTER);
+    FailureAttribution b = new FailureAttribution(SICK_AFTER);
     for (int job = 0; job < 3; job++) {
       b.failed(job, 7);
       b.succeeded(job, 8);
@@ -113,7 +113,7 @@
 
   @Test
   void twoSoundMachinesAreEnoughToSuspectAJob() {
-    Blame b = new Blame(SICK_AFTER);
+    FailureAttribution b = new FailureAttribution(SICK_AFTER);
     b.succeeded(1, 1);
     b.succeeded(1, 2);
     b.failed(2, 1);
--- a/src/test/java/org/snowturn/core/evidence/ContactTest.java
+++ b/src/test/java/org/snowturn/core/evidence/ReachabilityTest.java
@@ -12,12 +12,12 @@
 import org.junit.jupiter.api.Test;
 
 /** What shows that a machine receives, and what does not. */
-class ContactTest {
+class ReachabilityTest {
   private static final long IN_TIME = 4_900;
 
   private long seq;
 
-  private void checkIn(Contact c, long at, boolean token) {
+  private void checkIn(Reachability c, long at, boolean token) {
     c.believed(token);
     c.checkedIn(++seq, at, IN_TIME);
     c.answeredCheckIn(at);
@@ -25,7 +25,7 @@
 
   @Test
   void aLearntTokenProves() {
-    Contact c = new Contact();
+    Reachability c = new Reachability();
     checkIn(c, 0, false);
     assertFalse(c.proven());
     checkIn(c, 500, true);
@@ -34,7 +34,7 @@
 
   @Test
   void anUnansweredMessageIsDoubtUntilAnAnswerOrTwoReportsInTime() {
-    Contact c = new Contact();
+    Reachability c = new Reachability();
     c.answered();
     c.unanswered(1_000);
     assertFalse(c.proven());
@@ -51,7 +51,7 @@
   @Property(tries = 300, seed = "31")
   void aMachineThatReceivesNothingIsNeverProven(
       @ForAll @Size(min = 1, max = 60) List<@IntRange(min = 0, max = 5) Integer> steps) {
-    Contact c = new Contact();
+    Reachability c = new Reachability();
     c.answered();
     c.unanswered(0);
     long now = 0;
@@ -66,7 +66,7 @@
       }
       assertFalse(c.proven());
     }
-    for (int i = 0; i < Contact.DEAF_AFTER; i++) {
+    for (int i = 0; i < Reachability.DEAF_AFTER; i++) {
       c.unanswered(now);
     }
     assertTrue(c.deaf(now + 20_000, 20_000));
@@ -74,7 +74,7 @@
 
   @Test
   void aCopyIsLateAndANewSessionCountsAnew() {
-    Contact c = new Contact();
+    Reachability c = new Reachability();
     c.checkedIn(7, 0, IN_TIME);
     assertTrue(c.late(7));
     assertTrue(c.late(3));
@@ -85,7 +85,7 @@
 
   @Test
   void whoDoesNotAnswerIsAskedEverLater() {
-    Contact c = new Contact();
+    Reachability c = new Reachability();
     int asked = 0;
     for (long now = 0; now < 20_000; now += 250) {
       if (c.toAsk(now)) {
--- a/src/test/java/org/snowturn/core/reach/RelaysTest.java
+++ b/src/test/java/org/snowturn/core/reach/RelaysTest.java
@@ -37,8 +37,8 @@
 
   private static Relays life(Calls calls) {
     calls.at(1000, 1000);
-    Surroundings s = new Surroundings(TestSettings.withPeer("b"), calls, () -> 0);
-    s.told(new PeerRecord.Reaches("b", new Reach(0, 0)));
+    ConnectivityMonitor s = new ConnectivityMonitor(TestSettings.withPeer("b"), calls, () -> 0);
+    s.told(new PeerRecord.Reaches("b", new Connectivity(0, 0)));
     return new Relays(TestSettings.withPeer("b"), calls, s, () -> false);
   }
 
--- /dev/null
+++ b/src/test/java/org/snowturn/lab/LabCommandsTest.java
@@ -0,0 +1,140 @@
+package org.snowturn.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snowturn.days.Days;
+import org.snowturn.lab.Measurements.Factor;
+import picocli.CommandLine;
+
+/** What the lab says to wrong input, and that its tables are what the measurements say. */
+class LabCommandsTest {
+  private static final int BAD_INPUT = 2;
+
+  @TempDir private Path dir;
+
+  private final StringWriter errors = new StringWriter();
+
+  private int run(String... args) {
+    CommandLine line = Days.handled(new CommandLine(new Lab()));
+    line.setErr(new PrintWriter(errors));
+    return line.execute(args);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "--workers -1",
+        "--workers 0",
+        "--workers 20001",
+        "--workers 10 --tasks 0",
+        "--workers 10 --starts -5",
+        "--workers 10 --regions 8",
+        "--workers 2 --regions 3",
+        "--workers 10 --duration 0",
+        "--workers 10 --fail cloud",
+        "--workers 10 --fail workers=11",
+        "--workers 10 --fail workers=-1",
+        "--workers 10 --state-changes 0",
+        "--workers 10 --connections 1",
+        "--workers 10 --nothing 1",
+        "--workers ten"
+      })
+  void wrongPlansAreRefusedAndStartNothing(String options) {
+    String all = "scale --out " + dir.resolve("out") + " " + options;
+    assertEquals(BAD_INPUT, run(all.split(" ")), errors.toString());
+    assertTrue(Files.notExists(dir.resolve("out")));
+  }
+
+  @Test
+  void aPlanBeyondHalfOfTheMemoryIsRefused() {
+    ScalePlan large = ScaleRunTest.plan(11_000, 300_000, 3, 60, Failure.NONE);
+    String message = assertThrows(BadPlanException.class, () -> large.check(4_000)).getMessage();
+    assertTrue(message.contains("more than half"), message);
+  }
+
+  @Test
+  void aMissingJarIsNamed() throws Exception {
+    Path deploy = Files.writeString(dir.resolve("service.toml"), "run = \"java -jar no.jar --c\"");
+    BadPlanException e = assertThrows(BadPlanException.class, () -> RunLine.read(deploy, dir, 0));
+    assertTrue(e.getMessage().startsWith("no.jar"), e.getMessage());
+  }
+
+  @Test
+  void anotherHeapReplacesTheRunLines() throws Exception {
+    Path deploy = Files.writeString(dir.resolve("service.toml"), "run = \"java -Xms8m -Xmx80m X\"");
+    assertEquals(List.of("java", "-Xms8m", "-Xmx256m", "X"), RunLine.read(deploy, dir, 256));
+  }
+
+  private Path measurements(String... lines) throws Exception {
+    StringBuilder text = new StringBuilder(Measurements.HEADER).append('\n');
+    for (String l : lines) {
+      text.append(l).append('\n');
+    }
+    return Files.writeString(dir.resolve("scale-runs.csv"), text);
+  }
+
+  private static String row(String series, int workers, int tasks, double cores) {
+    return row(series, workers, tasks, 50, 3, 190, cores);
+  }
+
+  private static String row(
+      String series, int workers, int tasks, int starts, int controllers, int teams, double cores) {
+    return series + "," + workers + "," + tasks + "," + starts + ",1," + controllers + "," + teams
+        + ",30,0,8192,250,none,leader r0-n0,cores," + cores;
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"workers,1,2", "a,b,c,d,e,f,g,h,i,j,k,l,m,n,o"})
+  void damagedMeasurementsAreRefusedWithTheirLine(String line) throws Exception {
+    Path file = measurements(row("workers", 500, 8_000, 0.1), line);
+    String message =
+        assertThrows(BadPlanException.class, () -> Measurements.read(file)).getMessage();
+    assertTrue(message.contains(":3:"), message);
+    assertEquals(BAD_INPUT, run("capacity", "--in", dir.toString()));
+  }
+
+  @Test
+  void slopesAddUpFromTheSizeAtWhichTheWorkersWereVaried() throws Exception {
+    Measurements m =
+        Measurements.read(
+            measurements(
+                row("workers", 500, 8_000, 0.15),
+                row("workers", 1_000, 8_000, 0.20),
+                row("workers", 2_000, 8_000, 0.30),
+                row("tasks", 1_000, 8_000, 0.20),
+                row("tasks", 1_000, 18_000, 0.30),
+                row("starts", 1_000, 8_000, 50, 3, 190, 0.2),
+                row("starts", 1_000, 8_000, 150, 3, 190, 0.25),
+                row("teams", 1_000, 8_000, 50, 3, 1, 0.2),
+                row("teams", 1_000, 8_000, 50, 3, 401, 0.24),
+                row("controllers", 1_000, 8_000, 50, 3, 190, 0.2),
+                row("controllers", 1_000, 8_000, 50, 5, 190, 0.22)));
+    CapacityModel model = new CapacityModel(m);
+    Slope workers = model.slope(Factor.WORKERS, "leader", "cores");
+    assertEquals(1e-4, workers.perUnit(), 1e-9);
+    assertEquals(0.10, workers.atZero(), 1e-9);
+    assertTrue(workers.isLine());
+    Map<Factor, Double> size =
+        Map.of(
+            Factor.WORKERS, 3_000.0,
+            Factor.TASKS, 28_000.0,
+            Factor.STARTS, 250.0,
+            Factor.TEAMS, 290.0,
+            Factor.CONTROLLERS, 5.0);
+    // 0.1 + 3,000 workers, 20,000 tasks, 200 starts, 100 teams and two controllers more.
+    double expected = 0.10 + 0.30 + 0.20 + 0.10 + 0.01 + 0.02;
+    assertEquals(expected, model.at(size, "leader", "cores"), 1e-9);
+  }
+}
--- a/src/test/java/org/snowturn/peer/PeerCodecTest.java
+++ b/src/test/java/org/snowturn/peer/PeerCodecTest.java
@@ -12,7 +12,7 @@
 import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
 import org.snowturn.core.admission.Needs;
-import org.snowturn.core.reach.Reach;
+import org.snowturn.core.reach.Connectivity;
 import org.snowturn.wire.Json;
 
 class PeerCodecTest {
@@ -23,7 +23,7 @@
           new PeerRecord.Promise("n2", 7, 1L << 40, 3000, false),
           new PeerRecord.Resign("n0", 12, 99),
           new PeerRecord.Progress("n0", "wk-000001", 3, 4),
-          new PeerRecord.Reaches("n1", new Reach(120, Reach.NEVER)),
+          new PeerRecord.Reaches("n1", new Connectivity(120, Connectivity.NEVER)),
           new PeerRecord.Sample("n2", List.of("10.1.0.1:9000", "10.1.0.2:9000")),
           new PeerRecord.Relay("n0", "n1", 5, "GET", "/kv/j/wk-000001", null, 1800),
           new PeerRecord.Relay("n0", "n1", 6, "POST", "/txn", Json.object().put("when", "é"), 1800),
--- a/src/test/java/org/snowturn/sim/HistoryTest.java
+++ b/src/test/java/org/snowturn/sim/HistoryTest.java
@@ -41,7 +41,7 @@
     for (int i = 0; i < 20_000; i++) {
       List<Answer> all = new ArrayList<>();
       for (int n = random.nextInt(1, 6); n > 0; n--) {
-        long asked = 10 * all.size() + random.nextInt(30);
+        long asked = 10L * all.size() + random.nextInt(30);
         all.add(new Answer(asked, asked + 1 + random.nextInt(40), random.nextInt(3)));
       }
       all.sort(Comparator.comparingLong(Answer::at));
