--- a/src/lab/java/org/snowturn/days/DayReport.java
+++ b/src/lab/java/org/snowturn/days/DayReport.java
@@ -129,6 +129,47 @@
     return most;
   }
 
+  /** The columns of {@link #csv}. */
+  static final String CSV_HEADER =
+      "report,machines,submitted,accepted,submit_p95_ms,answers_503,busiest_cpu,busiest_memory_mb,"
+          + "most_sockets,state_requests,state_changes,state_refused,tasks_started,arrays_done,rules_broken,"
+          + "processes_s";
+
+  /** One line for tables of many reports; the busiest node is the one with the largest mean. */
+  String csv() {
+    double cpu = 0;
+    double memory = 0;
+    for (JsonNode n : root.path("node_stats")) {
+      cpu = Math.max(cpu, n.path("cpu_mean").asDouble());
+      memory = Math.max(memory, n.path("memory_peak_mb").asDouble());
+    }
+    long arrays = 0;
+    for (JsonNode c : root.path("classes")) {
+      arrays += c.path("told_done").asLong();
+    }
+    JsonNode users = root.path("users");
+    JsonNode state = root.path("state");
+    return String.format(
+        Locale.ROOT,
+        "%s,%d,%d,%d,%.0f,%d,%.3f,%.1f,%d,%d,%d,%d,%d,%d,%d,%.1f",
+        name.replace(".json", ""),
+        root.path("machines").asLong(),
+        users.path("submitted").asLong(),
+        users.path("accepted").asLong(),
+        users.path("submit_ms").path("p95").asDouble(),
+        users.path("errors").path("503").asLong(),
+        cpu,
+        memory,
+        mostSockets(),
+        state.path("requests").asLong(),
+        state.path("writes").asLong(),
+        state.path("refused").asLong(),
+        root.path("fleet").path("tasks_started").asLong(),
+        arrays,
+        broken(),
+        root.path("spent").path("processes").path(0).asDouble());
+  }
+
   String line() {
     Map.Entry<String, Double> least = leastServed();
     return String.format(
--- a/src/lab/java/org/snowturn/days/Days.java
+++ b/src/lab/java/org/snowturn/days/Days.java
@@ -22,7 +22,7 @@
 @Command(
     name = "days",
     mixinStandardHelpOptions = true,
-    subcommands = {Days.Copy.class, Days.Draw.class, Days.Judge.class},
+    subcommands = {Days.Copy.class, Days.Draw.class, Days.Judge.class, Days.Table.class},
     description = "Copies of deployments, days drawn from their troubles, and a look at reports.")
 public final class Days {
   private static final int BAD_INPUT = 2;
@@ -182,6 +182,21 @@
     }
   }
 
+  @Command(name = "table", description = "Prints reports as lines of CSV.")
+  static final class Table implements Callable<Integer> {
+    @Parameters(arity = "1..*", paramLabel = "REPORT")
+    private List<Path> reports;
+
+    @Override
+    public Integer call() throws SiteFile.BadInput {
+      System.out.println(DayReport.CSV_HEADER);
+      for (Path p : reports) {
+        System.out.println(DayReport.read(p).csv());
+      }
+      return 0;
+    }
+  }
+
   /** Its options are read by the command line. */
   public Days() {}
 
--- a/src/test/java/org/snowturn/lab/LabCommandsTest.java
+++ b/src/test/java/org/snowturn/lab/LabCommandsTest.java
@@ -91,8 +91,19 @@
 
   private static String row(
       String series, int workers, int tasks, int starts, int controllers, int teams, double cores) {
-    return series + "," + workers + "," + tasks + "," + starts + ",1," + controllers + "," + teams
-        + ",30,0,8192,250,none,leader r0-n0,cores," + cores;
+    return series
+        + ","
+        + workers
+        + ","
+        + tasks
+        + ","
+        + starts
+        + ",1,"
+        + controllers
+        + ","
+        + teams
+        + ",30,0,8192,250,none,leader r0-n0,cores,"
+        + cores;
   }
 
   @ParameterizedTest
