--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -62,6 +62,8 @@
 
   private static final int LEAST_TO_WORKERS = 64;
 
+  private static final int UNAVAILABLE = 503;
+
   /** At least so many requests may wait for the core at a time. */
   private static final int LEAST_REQUESTS = 64;
 
@@ -183,6 +185,7 @@
 
   private void trim() {
     safely(workers::trim);
+    safely(front::expireReports);
     bulk.executeAfter(this::trim, TRIM_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -254,6 +257,14 @@
       // One input must not end the process; what it was about is settled by time-outs.
       LOG.error("input failed: {}", input.getClass().getSimpleName(), e);
       metrics.count("snowturn.failures", input.getClass().getSimpleName());
+      refuse(input);
+    }
+  }
+
+  /** A request whose handling failed is not left open: its caller may try again. */
+  private void refuse(Input input) {
+    if (input instanceof Input.Request r) {
+      forBulk.add(() -> front.answer(new Effect.Answer(r.exchange(), UNAVAILABLE, null, 1)));
     }
   }
 
--- a/src/main/java/org/snowturn/front/Front.java
+++ b/src/main/java/org/snowturn/front/Front.java
@@ -52,6 +52,8 @@
   private final Map<Long, Waiting> waiting = new HashMap<>();
   private long nextExchange = 1;
 
+  private final ReportIntake reports;
+
   private record Waiting(HttpServerExchange exchange, String kind, long sinceNanos) {}
 
   private interface WithBody {
@@ -80,6 +82,16 @@
     this.metrics = metrics;
     this.gauges = gauges;
     this.mostOpen = mostOpen;
+    this.reports = new ReportIntake(mostOpen, this::readReport, metrics);
+  }
+
+  private void readReport(HttpServerExchange x) {
+    body(x, json -> open(x, "checkin", new Input.CheckIn(nextExchange, Report.parse(json))));
+  }
+
+  /** Refuses the reports that have waited too long to be read; to be called now and then. */
+  public void expireReports() {
+    reports.expire();
   }
 
   @Override
@@ -87,7 +99,7 @@
     String path = x.getRequestPath();
     if (path.equals("/checkin")) {
       if (allow(x, Methods.POST)) {
-        body(x, json -> open(x, "checkin", new Input.CheckIn(nextExchange, Report.parse(json))));
+        reports.take(x);
       }
     } else if (path.equals(RUNS)) {
       if (allow(x, Methods.POST)) {
--- a/src/test/java/org/snowturn/daemon/DaemonTest.java
+++ b/src/test/java/org/snowturn/daemon/DaemonTest.java
@@ -177,6 +177,26 @@
     }
   }
 
+  /** Workers that give up while they are waited for, or wait, take up nothing that others need. */
+  @Test
+  void reportsWhoseSendersHaveGoneLeaveNoTrace() throws Exception {
+    String body =
+        "{\"drift\":\"i-1\",\"addr\":\"127.0.0.1:1\",\"hull\":\"h\",\"field\":\"a\","
+            + "\"thaw\":1,\"tally\":1,\"flakes\":[]}";
+    String head = "POST /checkin HTTP/1.1\r\nHost: n0\r\nContent-Length: ";
+    for (int i = 0; i < 300; i++) {
+      // A third never sends all of its report, and so is still being read when it goes.
+      int length = body.length() + (i % 3 == 0 ? 10 : 0);
+      try (Socket s = new Socket("127.0.0.1", at.getPort())) {
+        s.getOutputStream()
+            .write((head + length + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+      }
+    }
+    for (int i = 0; i < 100; i++) {
+      assertEquals(421, send("POST", "/checkin", body).statusCode());
+    }
+  }
+
   private int connectionsOpen() throws Exception {
     String line =
         send("GET", "/metrics", null)
