--- a/src/lab/java/org/snowturn/sim/WorkerLinks.java
+++ b/src/lab/java/org/snowturn/sim/WorkerLinks.java
@@ -2,6 +2,7 @@
 
 import io.undertow.connector.ByteBufferPool;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,9 @@
     final XnioIoThread io;
     final Map<String, Link> links = new HashMap<>();
 
+    /** Callers of nodes that their workers have left, until their last call is over. */
+    final List<HttpCaller> retired = new ArrayList<>();
+
     Lane(XnioIoThread io) {
       this.io = io;
     }
@@ -41,9 +45,10 @@
 
   private HttpCaller link(Lane lane, String worker, InetSocketAddress to) {
     Link l = lane.links.get(worker);
+    lane.retired.removeIf(HttpCaller::closeIfIdle);
     if (l == null || !l.to.equals(to)) {
-      if (l != null) {
-        l.caller.closeIfIdle();
+      if (l != null && !l.caller.closeIfIdle()) {
+        lane.retired.add(l.caller);
       }
       l = new Link(to, new HttpCaller(to, lane.io, buffers, 1));
       lane.links.put(worker, l);
