--- a/src/main/java/org/snowturn/core/Input.java
+++ b/src/main/java/org/snowturn/core/Input.java
@@ -6,12 +6,6 @@
 
 /** Everything that can happen to a controller. */
 public sealed interface Input {
-  /** What somebody waits for an answer to. */
-  sealed interface Request extends Input {
-    /** The exchange that the answer goes to. */
-    long exchange();
-  }
-
   /** Time has passed. */
   record Tick() implements Input {}
 
@@ -30,16 +24,16 @@
   }
 
   /** A worker reports; the answer goes to this exchange. */
-  record CheckIn(long exchange, Report report) implements Request {}
+  record CheckIn(long exchange, Report report) implements Input {}
 
   /** A user submits. */
-  record Submit(long exchange, JobSpec spec) implements Request {}
+  record Submit(long exchange, JobSpec spec) implements Input {}
 
   /** A user polls. */
-  record Poll(long exchange, String job) implements Request {}
+  record Poll(long exchange, String job) implements Input {}
 
   /** A user cancels. */
-  record Cancel(long exchange, String job) implements Request {}
+  record Cancel(long exchange, String job) implements Input {}
 
   /** A peer's record arrived. */
   record FromPeer(PeerRecord message) implements Input {}
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -3,7 +3,6 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.ConnectorStatistics;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.BindException;
@@ -21,7 +20,6 @@
 import org.snowturn.core.Controller;
 import org.snowturn.core.Effect;
 import org.snowturn.core.Input;
-import org.snowturn.core.connections.ConnectionBudget;
 import org.snowturn.front.Front;
 import org.snowturn.metrics.Metrics;
 import org.snowturn.net.HttpCaller;
@@ -62,16 +60,10 @@
 
   private static final int LEAST_TO_WORKERS = 64;
 
-  private static final int UNAVAILABLE = 503;
-
-  /** At least so many requests may wait for the core at a time. */
-  private static final int LEAST_REQUESTS = 64;
-
   private final Settings settings;
   private final Controller controller;
   private final Metrics metrics = new Metrics();
   private Undertow server;
-  private ConnectorStatistics served;
   private XnioWorker worker;
   private XnioWorker bulkWorker;
   private XnioIoThread io;
@@ -119,9 +111,7 @@
             () -> ready,
             metrics,
             then -> io.execute(() -> gauges(then)),
-            Math.max(LEAST_REQUESTS, settings.maxConnections() / 2),
-            new ConnectionBudget(settings.maxConnections()),
-            this::connectionsFromOutside);
+            Math.max(64, settings.maxConnections() / 2));
     server =
         Undertow.builder()
             .setWorker(bulkWorker)
@@ -140,8 +130,6 @@
             .build();
     try {
       server.start();
-      served = server.getListenerInfo().get(0).getConnectorStatistics();
-      metrics.gauge("snowturn.connections.open", this::connectionsFromOutside);
       peers.listen(settings.peerBind());
     } catch (RuntimeException | IOException e) {
       boolean inUse = e instanceof BindException || e.getCause() instanceof BindException;
@@ -185,7 +173,6 @@
 
   private void trim() {
     safely(workers::trim);
-    safely(front::expireReports);
     bulk.executeAfter(this::trim, TRIM_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -197,15 +184,12 @@
 
   /** Connections to workers give way to those that workers and users open. */
   private int connectionsToWorkers() {
-    int left = (int) (settings.maxConnections() * SOCKETS_USED - connectionsFromOutside());
+    long in = server.getListenerInfo().get(0).getConnectorStatistics().getActiveConnections();
+    int left = (int) (settings.maxConnections() * SOCKETS_USED - in);
     int share = settings.maxConnections() / WORKERS_SHARE;
     return Math.max(LEAST_TO_WORKERS, Math.min(share, left));
   }
 
-  private int connectionsFromOutside() {
-    return (int) served.getActiveConnections();
-  }
-
   private void scheduleIntake() {
     io.execute(this::drainIntake);
   }
@@ -257,14 +241,6 @@
       // One input must not end the process; what it was about is settled by time-outs.
       LOG.error("input failed: {}", input.getClass().getSimpleName(), e);
       metrics.count("snowturn.failures", input.getClass().getSimpleName());
-      refuse(input);
-    }
-  }
-
-  /** A request whose handling failed is not left open: its caller may try again. */
-  private void refuse(Input input) {
-    if (input instanceof Input.Request r) {
-      forBulk.add(() -> front.answer(new Effect.Answer(r.exchange(), UNAVAILABLE, null, 1)));
     }
   }
 
--- a/src/main/java/org/snowturn/front/Front.java
+++ b/src/main/java/org/snowturn/front/Front.java
@@ -15,18 +15,15 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snowturn.core.Effect;
 import org.snowturn.core.Input;
-import org.snowturn.core.connections.ConnectionBudget;
 import org.snowturn.metrics.Metrics;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Report;
-import org.xnio.IoUtils;
 
 /** The HTTP side that users, workers, the load balancer and operators see. */
 public final class Front implements HttpHandler {
@@ -35,25 +32,15 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(Front.class);
   private static final String RUNS = "/v2/runs";
-
-  /** So long after the last connection was closed sockets are no longer called short. */
-  private static final long CLOSING_OVER_NANOS = 10_000_000_000L;
-
   private static final HttpString RETRY_AFTER = new HttpString("Retry-After");
   private final Consumer<Input> core;
   private final BooleanSupplier ready;
   private final Metrics metrics;
   private final Consumer<Consumer<Map<String, Double>>> gauges;
   private final int mostOpen;
-  private final ConnectionBudget connections;
-  private final IntSupplier openConnections;
-  private boolean closing;
-  private long closedAtNanos;
   private final Map<Long, Waiting> waiting = new HashMap<>();
   private long nextExchange = 1;
 
-  private final ReportIntake reports;
-
   private record Waiting(HttpServerExchange exchange, String kind, long sinceNanos) {}
 
   private interface WithBody {
@@ -64,34 +51,18 @@
    * Hands requests to {@code core}; at most {@code mostOpen} of them at a time.
    *
    * @param gauges asks for the core's own figures, which come back on this server's thread
-   * @param connections decides which connections are kept after an answer
-   * @param openConnections how many connections workers and users hold now
    */
   public Front(
       Consumer<Input> core,
       BooleanSupplier ready,
       Metrics metrics,
       Consumer<Consumer<Map<String, Double>>> gauges,
-      int mostOpen,
-      ConnectionBudget connections,
-      IntSupplier openConnections) {
-    this.connections = connections;
-    this.openConnections = openConnections;
+      int mostOpen) {
     this.core = core;
     this.ready = ready;
     this.metrics = metrics;
     this.gauges = gauges;
     this.mostOpen = mostOpen;
-    this.reports = new ReportIntake(mostOpen, this::readReport, metrics);
-  }
-
-  private void readReport(HttpServerExchange x) {
-    body(x, json -> open(x, "checkin", new Input.CheckIn(nextExchange, Report.parse(json))));
-  }
-
-  /** Refuses the reports that have waited too long to be read; to be called now and then. */
-  public void expireReports() {
-    reports.expire();
   }
 
   @Override
@@ -99,7 +70,7 @@
     String path = x.getRequestPath();
     if (path.equals("/checkin")) {
       if (allow(x, Methods.POST)) {
-        reports.take(x);
+        body(x, json -> open(x, "checkin", new Input.CheckIn(nextExchange, Report.parse(json))));
       }
     } else if (path.equals(RUNS)) {
       if (allow(x, Methods.POST)) {
@@ -210,37 +181,9 @@
     if (a.retryAfterS() > 0) {
       w.exchange.getResponseHeaders().put(RETRY_AFTER, a.retryAfterS());
     }
-    closeIfOverBudget(w);
     finish(w.exchange, a.status(), a.body() == null ? null : Json.bytes(a.body()));
   }
 
-  /** Tells the caller to open another connection for its next request, if sockets are short. */
-  private void closeIfOverBudget(Waiting w) {
-    int open = openConnections.getAsInt();
-    long now = System.nanoTime();
-    if (connections.keeps(open)) {
-      if (closing && now - closedAtNanos > CLOSING_OVER_NANOS) {
-        closing = false;
-        LOG.info("{} connections open: all are kept again", open);
-      }
-      return;
-    }
-    if (!closing) {
-      closing = true;
-      LOG.info("{} connections open: some are closed after their answers", open);
-    }
-    closedAtNanos = now;
-    metrics.count("snowturn.connections.closed", w.kind);
-    w.exchange.setPersistent(false);
-    w.exchange.addExchangeCompleteListener(
-        (exchange, next) -> {
-          // At once: by itself the server would wait for the caller to close its end, and many do
-          // so only when they have their next request.
-          IoUtils.safeClose(exchange.getConnection());
-          next.proceed();
-        });
-  }
-
   private static void finish(HttpServerExchange x, int status, byte[] body) {
     x.setStatusCode(status);
     if (body == null) {
