--- a/src/lab/java/org/snowturn/lab/ScaleResult.java
+++ b/src/lab/java/org/snowturn/lab/ScaleResult.java
@@ -70,6 +70,7 @@
       f.put("workers", (double) to.workersUp());
       f.put("running", (double) to.running());
       f.put("starts_per_s", (to.starts() - from.starts()) / lastedS);
+      f.put("starts_in_all", (double) to.starts());
       f.put("jobs_over_per_s", (to.jobsDone() - from.jobsDone()) / lastedS);
       f.put("reports_per_s", (to.reports() - from.reports()) / lastedS);
       f.put("commands_per_s", (to.commands() - from.commands()) / lastedS);
