Large runs in CAPACITY; a fall within its spread is not drawn out to other sizes

Cause: the worker's own processor time came out negative at the plan's size. Change: such a figure is the mean of its points; zero is shown as 0.

--- a/src/lab/java/org/snowturn/lab/CapacityModel.java
+++ b/src/lab/java/org/snowturn/lab/CapacityModel.java
@@ -25,7 +25,7 @@
 
   /** A figure at a size. */
   double at(Map<Factor, Double> size, String role, String figure) throws BadPlanException {
-    double sum = slope(Factor.WORKERS, role, figure).at(size.get(Factor.WORKERS));
+    double sum = alongWorkers(size.get(Factor.WORKERS), role, figure);
     for (Factor f : Factor.values()) {
       if (f != Factor.WORKERS) {
         double base = measured.common(f, Factor.WORKERS.label());
@@ -35,10 +35,25 @@
     return sum;
   }
 
-  /** Too few points tell nothing; a fall within the spread is taken for noise, a rise is not. */
+  private double alongWorkers(double workers, String role, String figure) {
+    Slope line = slope(Factor.WORKERS, role, figure);
+    if (!isNoise(line)) {
+      return line.at(workers);
+    }
+    return measured.along(Factor.WORKERS, Factor.WORKERS.label(), role, figure).values().stream()
+        .mapToDouble(Double::doubleValue)
+        .average()
+        .orElse(0);
+  }
+
+  /** A fall within the spread is taken for noise, a rise is not. */
+  private static boolean isNoise(Slope s) {
+    return s.perUnit() < 0 && -s.perUnit() <= s.spread();
+  }
+
+  /** Too few points tell nothing. */
   private static double perUnit(Slope s) {
-    boolean noise = s.perUnit() < 0 && -s.perUnit() <= s.spread();
-    return s.points() < LEAST_POINTS || noise ? 0 : s.perUnit();
+    return s.points() < LEAST_POINTS || isNoise(s) ? 0 : s.perUnit();
   }
 
   /** The same size so many times, but for what does not grow with the load. */
--- a/src/lab/java/org/snowturn/lab/CapacityTables.java
+++ b/src/lab/java/org/snowturn/lab/CapacityTables.java
@@ -185,6 +185,9 @@
   }
 
   static String shown(double v) {
+    if (v == 0) {
+      return "0";
+    }
     double size = Math.abs(v);
     String form = size >= 100 ? "%,.0f" : size >= 10 ? "%.1f" : size >= 0.1 ? "%.2f" : "%.4f";
     return String.format(Locale.ROOT, form, v);
