--- a/src/lab/java/org/snowturn/days/Days.java
+++ b/src/lab/java/org/snowturn/days/Days.java
@@ -207,7 +207,14 @@
 
   /** Tells of what the caller got wrong in one line, with status 2. */
   public static CommandLine handled(CommandLine command) {
-    return command.setExecutionExceptionHandler(
+    return command
+        .setParameterExceptionHandler(
+            (e, args) -> {
+              CommandLine line = e.getCommandLine();
+              line.getErr().println(line.getCommandName() + ": " + e.getMessage());
+              return BAD_INPUT;
+            })
+        .setExecutionExceptionHandler(
             (e, line, parsed) -> {
               boolean callers = e instanceof SiteFile.BadInput || e instanceof IOException;
               if (!callers) {
--- a/src/test/java/org/snowturn/lab/LabCommandsTest.java
+++ b/src/test/java/org/snowturn/lab/LabCommandsTest.java
@@ -54,6 +54,7 @@
   void wrongPlansAreRefusedAndStartNothing(String options) {
     String all = "scale --out " + dir.resolve("out") + " " + options;
     assertEquals(BAD_INPUT, run(all.split(" ")), errors.toString());
+    assertEquals(1, errors.toString().lines().count(), errors.toString());
     assertTrue(Files.notExists(dir.resolve("out")));
   }
 
