--- a/src/test/java/org/snowturn/sim/ScenarioTest.java
+++ b/src/test/java/org/snowturn/sim/ScenarioTest.java
@@ -9,8 +9,11 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /** The one runner of all scenario files; {@code -Dscenario=gap} runs those whose name begins so. */
+@Execution(ExecutionMode.CONCURRENT)
 class ScenarioTest {
   @TestFactory
   Stream<DynamicTest> scenarios() throws Exception {
@@ -21,8 +24,8 @@
         if (!f.getFileName().toString().startsWith(begins)) {
           continue;
         }
-        Scenario s = Scenario.read(f);
-        for (long seed : s.seeds()) {
+        for (long seed : Scenario.read(f).seeds()) {
+          Scenario s = Scenario.read(f); // one for each, since they are played side by side
           String name = f.getFileName() + " seed " + seed;
           tests.add(
               DynamicTest.dynamicTest(
