--- a/src/lab/java/org/snowturn/lab/CapacityTables.java
+++ b/src/lab/java/org/snowturn/lab/CapacityTables.java
@@ -62,7 +62,8 @@
   /** Each figure's slope along each factor. */
   String slopes() {
     StringBuilder s = new StringBuilder();
-    s.append("| role | figure | along | points | per 1,000 | spread | at zero | worst residual |\n");
+    s.append(
+        "| role | figure | along | points | per 1,000 | spread | at zero | worst residual |\n");
     s.append("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
     for (String[] limit : limits) {
       for (Factor f : Factor.values()) {
@@ -97,7 +98,9 @@
       double more = model.at(CapacityModel.times(REGION, MORE), limit[0], limit[1]);
       boolean limited = !limit[3].isEmpty();
       String headroom =
-          limited ? String.format(Locale.ROOT, "%.1f", Double.parseDouble(limit[3]) / planned) : "-";
+          limited
+              ? String.format(Locale.ROOT, "%.1f", Double.parseDouble(limit[3]) / planned)
+              : "-";
       s.append(
           String.format(
               Locale.ROOT,
@@ -122,8 +125,10 @@
       }
     }
     StringBuilder s = new StringBuilder();
-    s.append("| workers, tasks, starts a second, fails | starts a second | urgent 50, 95, 99% ms |");
-    s.append(" accepted 95% ms | changes of leader, longest pause s | leader's cores, MB, sockets |");
+    s.append(
+        "| workers, tasks, starts a second, fails | starts a second | urgent 50, 95, 99% ms |");
+    s.append(
+        " accepted 95% ms | changes of leader, longest pause s | leader's cores, MB, sockets |");
     s.append(" state service: requests, changes, refused | a worker: cores, KB a second |");
     s.append(" rules broken |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
     for (String key : keys) {
@@ -136,7 +141,12 @@
       s.append(" | ");
       s.append(
           cells(
-              series, key, "region", "state_requests_per_s", "state_changes_per_s", "state_refused"));
+              series,
+              key,
+              "region",
+              "state_requests_per_s",
+              "state_changes_per_s",
+              "state_refused"));
       s.append(" | ").append(cell(series, key, "one worker", "cores")).append(", ");
       s.append(shown(sum(series, key, "one worker", "kb_in_per_s", "kb_out_per_s"))).append(" | ");
       s.append(cell(series, key, "region", "rules_broken")).append(" |\n");
--- a/src/lab/java/org/snowturn/lab/Failure.java
+++ b/src/lab/java/org/snowturn/lab/Failure.java
@@ -30,7 +30,7 @@
   static final class Reader implements ITypeConverter<Failure> {
     @Override
     public Failure convert(String text) {
- return switch (text) {
+      return switch (text) {
         case "none" -> NONE;
         case "leader" -> new Failure(Kind.LEADER, 0);
         case "zone" -> new Failure(Kind.ZONE, 0);
@@ -49,6 +49,8 @@
 
   @Override
   public String toString() {
-    return kind == Kind.WORKERS ? WORKERS + workers : kind.name().toLowerCase(java.util.Locale.ROOT);
+    return kind == Kind.WORKERS
+        ? WORKERS + workers
+        : kind.name().toLowerCase(java.util.Locale.ROOT);
   }
 }
--- a/src/lab/java/org/snowturn/lab/Measurements.java
+++ b/src/lab/java/org/snowturn/lab/Measurements.java
@@ -42,7 +42,12 @@
    * @param role leader, standby, region, one worker or a stand-in
    */
   record Point(
-      String series, Map<Factor, Double> size, String fail, String role, String figure, double value) {}
+      String series,
+      Map<Factor, Double> size,
+      String fail,
+      String role,
+      String figure,
+      double value) {}
 
   private final List<Point> points = new ArrayList<>();
 
--- a/src/lab/java/org/snowturn/lab/Scale.java
+++ b/src/lab/java/org/snowturn/lab/Scale.java
@@ -47,7 +47,9 @@
   @Option(names = "--heap", description = "Controllers' heap in MB; 0: as in the deploy file.")
   private int heap;
 
-  @Option(names = "--connections", description = "A controller's sockets. Default: ${DEFAULT-VALUE}.")
+  @Option(
+      names = "--connections",
+      description = "A controller's sockets. Default: ${DEFAULT-VALUE}.")
   private int connections = 8_192;
 
   @Option(names = "--state-requests", description = "A second. Default: ${DEFAULT-VALUE}.")
--- a/src/lab/java/org/snowturn/lab/ScaleResult.java
+++ b/src/lab/java/org/snowturn/lab/ScaleResult.java
@@ -114,7 +114,8 @@
     Builder threads(Map<String, ProcessUsage> now) {
       ProcessUsage hollow = ProcessUsage.NOTHING;
       for (var e : now.entrySet()) {
-        ProcessUsage u = e.getValue().since(threadsBefore.getOrDefault(e.getKey(), ProcessUsage.NOTHING));
+        ProcessUsage u =
+            e.getValue().since(threadsBefore.getOrDefault(e.getKey(), ProcessUsage.NOTHING));
         if (List.of("world", "state", "hollow", "report", "users").contains(e.getKey())) {
           rows.add(new Row("stand-in " + e.getKey(), usage(u, lastedS)));
         }
--- a/src/lab/java/org/snowturn/lab/ScaleRun.java
+++ b/src/lab/java/org/snowturn/lab/ScaleRun.java
@@ -170,7 +170,9 @@
       case ZONE -> {
         String zone = first.plan.zones().get(0);
         first.region.failZone(zone);
-        first.controllers.stream().filter(c -> c.zone.equals(zone)).forEach(ControllerProcess::kill);
+        first.controllers.stream()
+            .filter(c -> c.zone.equals(zone))
+            .forEach(ControllerProcess::kill);
       }
       case REGION -> {
         first.region.stateOutage(REGION_OUT_MS);
--- a/src/lab/java/org/snowturn/lab/Slope.java
+++ b/src/lab/java/org/snowturn/lab/Slope.java
@@ -10,7 +10,8 @@
  * @param perUnit the slope
  * @param spread half the width of its 95% interval; NaN with fewer than three points
  * @param atZero where the line meets zero
- * @param worstResidual the largest distance of a point from the line, as a share of the largest point
+ * @param worstResidual the largest distance of a point from the line, as a share of the largest
+ *     point
  */
 record Slope(int points, double perUnit, double spread, double atZero, double worstResidual) {
   /** Beyond this the points do not lie on a line. */
--- a/src/lab/java/org/snowturn/lab/SlopePlot.java
+++ b/src/lab/java/org/snowturn/lab/SlopePlot.java
@@ -33,9 +33,7 @@
     Slope slope = Slope.through(points);
     XYSeries measured = chart.addSeries("measured", xs, new ArrayList<>(points.values()));
     measured.setXYSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter);
-    chart
-        .addSeries("line", xs, xs.stream().map(slope::at).toList())
-        .setMarker(SeriesMarkers.NONE);
+    chart.addSeries("line", xs, xs.stream().map(slope::at).toList()).setMarker(SeriesMarkers.NONE);
     VectorGraphicsEncoder.saveVectorGraphic(chart, svg.toString(), VectorGraphicsFormat.SVG);
   }
 }
--- a/src/lab/java/org/snowturn/sim/Load.java
+++ b/src/lab/java/org/snowturn/sim/Load.java
@@ -107,7 +107,8 @@
     o.put("tasks", "" + tasks);
     o.put("cpus", "1");
     o.put("guess", "" + Math.min(runMs, 600_000) / 1000);
-    JobSpec spec = Scenario.spec(String.format("wk-%d%07d", 1 + plan.number(), nextJob++), "batch", o);
+    JobSpec spec =
+        Scenario.spec(String.format("wk-%d%07d", 1 + plan.number(), nextJob++), "batch", o);
     world.users.submit(spec, runMs, Map.of());
   }
 }
--- a/src/lab/java/org/snowturn/sim/Region.java
+++ b/src/lab/java/org/snowturn/sim/Region.java
@@ -63,8 +63,7 @@
   public Region(RegionPlan plan) {
     this.plan = plan;
     double cpus = Math.max(LEAST_CPUS, Math.ceil(plan.tasks() * ROOM / plan.workers()));
-    Sizes sizes =
-        new Sizes(cpus, cpus * MEMORY_PER_CPU_GB, 3_300, false, 500, id -> address(id));
+    Sizes sizes = new Sizes(cpus, cpus * MEMORY_PER_CPU_GB, 3_300, false, 500, id -> address(id));
     this.world = World.ofProcesses(plan.seed(), new Settings[] {settings()}, sizes);
     world.cloud.perZone = 0;
     world.cloud.bootMs = BOOT_MS;
@@ -114,8 +113,14 @@
   private String address(String machine) {
     int n = Integer.parseInt(machine.substring(machine.indexOf('-') + 1));
     int third = n / PER_OCTET % PER_OCTET;
-    return "127." + (FIRST_OCTET + plan.number()) + "." + third + "." + (1 + n % PER_OCTET)
-        + ":" + workersPort;
+    return "127."
+        + (FIRST_OCTET + plan.number())
+        + "."
+        + third
+        + "."
+        + (1 + n % PER_OCTET)
+        + ":"
+        + workersPort;
   }
 
   /** Opens the stand-ins' ports. */
--- a/src/lab/java/org/snowturn/sim/Rules.java
+++ b/src/lab/java/org/snowturn/sim/Rules.java
@@ -32,6 +32,7 @@
   }
 
   private final Map<String, List<Started>> started = new HashMap<>();
+
   /** Tasks that have begun to run, in all. */
   long starts;
 
--- a/src/lab/java/org/snowturn/sim/StandInCloud.java
+++ b/src/lab/java/org/snowturn/sim/StandInCloud.java
@@ -67,7 +67,10 @@
   private JsonNode catalog() {
     ObjectNode o = Json.object();
     ObjectNode t = o.putArray("hulls").addObject();
-    t.put("label", "t8").put("cores", world.sizes.cpus()).put("cards", 0).put("ram_gb", world.sizes.memoryGb());
+    t.put("label", "t8")
+        .put("cores", world.sizes.cpus())
+        .put("cards", 0)
+        .put("ram_gb", world.sizes.memoryGb());
     t.put("local_gb", 20).put("pull_gb_per_s", 1.0).put("hourly", 1.0).put("market_price", 0.3);
     t.put("ready_s", bootMs / 1000.0);
     ArrayNode zones = t.putArray("fields");
@@ -158,7 +161,10 @@
         break;
       }
       ObjectNode n = a.addObject();
-      n.put("id", r.id).put("addr", world.sizes.addresses().apply(r.id)).put("hull", "t8").put("field", r.zone);
+      n.put("id", r.id)
+          .put("addr", world.sizes.addresses().apply(r.id))
+          .put("hull", "t8")
+          .put("field", r.zone);
       n.put("loaners", r.spot).put("held_s", (asOf - r.at) / 1000.0);
       n.put("phase", r.failed ? "failed" : r.worker == null ? "starting" : "running");
     }
--- a/src/lab/java/org/snowturn/sim/StandInServer.java
+++ b/src/lab/java/org/snowturn/sim/StandInServer.java
@@ -36,7 +36,9 @@
     this.loop = loop;
   }
 
-  /** Listens on ports that are free; the controllers' names get a port of the state service each. */
+  /**
+   * Listens on ports that are free; the controllers' names get a port of the state service each.
+   */
   Map<String, InetSocketAddress> start(
       List<String> controllers, XnioWorker stateThreads, XnioWorker workerThreads) {
     Undertow.Builder builder = Undertow.builder().setWorker(stateThreads).setHandler(this::outside);
