--- /dev/null
+++ b/src/test/java/org/snowturn/knownred/KnownRedExtension.java
@@ -0,0 +1,77 @@
+package org.snowturn.knownred;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.reflect.Method;
+import java.util.Optional;
+import org.junit.jupiter.api.extension.DynamicTestInvocationContext;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.InvocationInterceptor;
+import org.junit.jupiter.api.extension.ReflectiveInvocationContext;
+import org.opentest4j.TestAbortedException;
+
+/**
+ * Runs the tests of the known-red list like all others, but reports a failure of theirs as skipped,
+ * and prints what became of them.
+ */
+public final class KnownRedExtension implements InvocationInterceptor {
+  private final KnownRed list;
+
+  /** Reads the list of this repository. */
+  public KnownRedExtension() {
+    try {
+      list = KnownRed.read(KnownRed.FILE);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void interceptTestMethod(
+      Invocation<Void> invocation,
+      ReflectiveInvocationContext<Method> invocationContext,
+      ExtensionContext context)
+      throws Throwable {
+    run(invocation, name(invocationContext.getExecutable()));
+  }
+
+  @Override
+  public void interceptDynamicTest(
+      Invocation<Void> invocation,
+      DynamicTestInvocationContext invocationContext,
+      ExtensionContext context)
+      throws Throwable {
+    run(invocation, name(factory(context)) + "[" + context.getDisplayName() + "]");
+  }
+
+  private static Method factory(ExtensionContext context) {
+    Optional<ExtensionContext> at = Optional.of(context);
+    while (at.isPresent() && at.get().getTestMethod().isEmpty()) {
+      at = at.get().getParent();
+    }
+    return at.orElseThrow().getRequiredTestMethod();
+  }
+
+  private static String name(Method method) {
+    return method.getDeclaringClass().getSimpleName() + "#" + method.getName();
+  }
+
+  private void run(Invocation<Void> invocation, String test) throws Throwable {
+    KnownRed.Entry entry = list.entry(test);
+    if (entry == null) {
+      invocation.proceed();
+      return;
+    }
+    try {
+      invocation.proceed();
+    } catch (Throwable failure) {
+      System.out.println("KNOWN RED, fails as listed: " + describe(entry));
+      throw new TestAbortedException("known red: " + describe(entry), failure);
+    }
+    System.out.println("KNOWN RED, but passes, so take it off the list: " + describe(entry));
+  }
+
+  private static String describe(KnownRed.Entry entry) {
+    return entry.test() + " (" + entry.cause() + "; " + entry.issue() + ")";
+  }
+}
--- /dev/null
+++ b/src/test/java/org/snowturn/knownred/KnownRedTest.java
@@ -0,0 +1,107 @@
+package org.snowturn.knownred;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Constructor;
+import java.lang.reflect.Method;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/** The known-red list is short, well formed, and names only tests that there are. */
+class KnownRedTest {
+  private static final Path TESTS = Path.of("src", "test", "java");
+
+  /** Where only some scenarios are asked for, the others have no names. */
+  private static void assumeAllTestsAreNamed() {
+    assumeTrue(System.getProperty("scenario") == null, "only some scenarios are played");
+  }
+
+  @Test
+  void everyListedTestExists() throws Exception {
+    assumeAllTestsAreNamed();
+    for (KnownRed.Entry entry : KnownRed.read(KnownRed.FILE).entries()) {
+      assertTrue(exists(entry.test()), "no test has the name " + entry.test());
+    }
+  }
+
+  @Test
+  void namesAreLookedUpAsTestsAreNamed() throws Exception {
+    assumeAllTestsAreNamed();
+    assertTrue(exists("KnownRedTest#everyListedTestExists"));
+    assertTrue(exists("ScenarioTest#scenarios[plain.txt seed 1]"));
+    assertFalse(exists("ScenarioTest#scenarios[plain.txt seed 99]"));
+    assertFalse(exists("KnownRedTest#exists"));
+    assertFalse(exists("NoSuchTest#atAll"));
+  }
+
+  @Test
+  void aLineHasThreeFieldsAndThereAreThreeLinesAtTheMost() {
+    String line = "A#b | the cause | issue 1";
+    KnownRed two = KnownRed.parse(List.of(line, "", "C#d[e f] | another | issue 2"));
+    assertEquals(new KnownRed.Entry("A#b", "the cause", "issue 1"), two.entry("A#b"));
+    assertEquals("another", two.entry("C#d[e f]").cause());
+    assertNull(two.entry("C#d"));
+    assertThrows(IllegalArgumentException.class, () -> KnownRed.parse(List.of("A#b | no issue")));
+    assertThrows(
+        IllegalArgumentException.class, () -> KnownRed.parse(List.of(line, line, line, line)));
+  }
+
+  private static boolean exists(String test) throws Exception {
+    int hash = test.indexOf('#');
+    int bracket = test.indexOf('[');
+    Class<?> type = hash < 0 ? null : testClass(test.substring(0, hash));
+    if (type == null) {
+      return false;
+    }
+    String name = test.substring(hash + 1, bracket < 0 ? test.length() : bracket);
+    for (Method method : type.getDeclaredMethods()) {
+      if (!method.getName().equals(name)) {
+        continue;
+      }
+      if (bracket < 0) {
+        return method.isAnnotationPresent(Test.class);
+      }
+      String display = test.substring(bracket + 1, test.length() - 1);
+      return method.isAnnotationPresent(TestFactory.class)
+          && displayNames(type, method).anyMatch(display::equals);
+    }
+    return false;
+  }
+
+  private static Stream<String> displayNames(Class<?> type, Method factory) throws Exception {
+    Constructor<?> constructor = type.getDeclaredConstructor();
+    constructor.setAccessible(true);
+    factory.setAccessible(true);
+    Stream<?> tests = (Stream<?>) factory.invoke(constructor.newInstance());
+    return tests.map(t -> ((DynamicTest) t).getDisplayName());
+  }
+
+  private static Class<?> testClass(String simpleName) throws IOException {
+    try (Stream<Path> files = Files.walk(TESTS)) {
+      Path file =
+          files
+              .filter(f -> f.getFileName().toString().equals(simpleName + ".java"))
+              .findFirst()
+              .orElse(null);
+      if (file == null) {
+        return null;
+      }
+      String path = TESTS.relativize(file).toString();
+      String name = path.substring(0, path.length() - ".java".length()).replace('/', '.');
+      return Class.forName(name);
+    } catch (ClassNotFoundException e) {
+      return null;
+    }
+  }
+}
