A start that has not left is withdrawn when its attempt ends, however it ends

Only Ledger.stop took a queued start back; an end told by a report (failed, refused) left it in the machine's queue. It then left after the machine had been told to forget the attempt and ran beside the task's next attempt: what had been proven of the attempt as reported was taken to hold for every copy of its start, sent or not. Change: Ledger.unbind withdraws it, the one place that every end goes through. ScenarioTest, MeetingsTest, AimedMeetingsTest, RenewalTest, ReconciliationTest pass.

--- a/src/main/java/org/snowturn/core/act/Ledger.java
+++ b/src/main/java/org/snowturn/core/act/Ledger.java
@@ -565,6 +565,8 @@
   private void unbind(Job j, int t) {
     Machine m = machines.get(j.machine[t]);
     m.bound.remove(Job.ref(j.index, t));
+    // A start that still waits there would begin an attempt that the machine has been told to forget.
+    m.outbox.withdraw(start(j, t));
     m.count(j.priority, -1);
     m.use(j.spec, -1);
     if (m.bound.isEmpty()) {
--- a/src/main/java/org/snowturn/core/act/Outbox.java
+++ b/src/main/java/org/snowturn/core/act/Outbox.java
@@ -65,7 +65,9 @@
 
   @Override
   public void withdraw(Command c) {
-    queue.remove(key(c));
+    if (!queue.isEmpty()) {
+      queue.remove(key(c));
+    }
   }
 
   private static String key(Command c) {
