Ends and starts are decided in one place, on typed evidence; the decisions can be followed in the log

Ledger.release had nine callers in four classes, each trusted to have the proof; a start was checked when it was decided and not when it left. Nothing in the log said why either was allowed. Change: EndEvidence (seven kinds) and AttemptView.objection say what proves an end; Ledger.release and complete take evidence and ask AttemptGuard, which also judges every start as it leaves, by message or answer. What is not proven is refused, counted (snowturn_invariants_violated_*), logged once, and breaks every scenario (invariant_violated). Structured lines: authority and its ground, records read with revision, hires, deletions (info); start, stop, forget, release with its evidence, check-ins, users' answers (debug, nothing made when off).

--- a/src/lab/java/org/snowturn/sim/World.java
+++ b/src/lab/java/org/snowturn/sim/World.java
@@ -384,6 +384,8 @@
         }
       } else if (e instanceof Effect.Note n) {
         log.add(now + " " + name + " " + n.text());
+      } else if (e instanceof Effect.Event v && v.severity() == Effect.Severity.ERROR) {
+        rules.broke("invariant_violated", name + " " + v.text());
       } else if (e instanceof Effect.Call c) {
         call(c);
       }
--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -121,6 +121,11 @@
     }
   }
 
+  /** Writes a line of the log for each task, report and answer as well. */
+  public void logDetails(boolean on) {
+    calls.events().debug(on);
+  }
+
   /** Takes one input and returns what is to be done. */
   public List<Effect> handle(long nowMs, long wallMs, Input input) {
     calls.at(nowMs, wallMs);
--- a/src/main/java/org/snowturn/core/Effect.java
+++ b/src/main/java/org/snowturn/core/Effect.java
@@ -32,4 +32,17 @@
 
   /** A decision worth a line at info. */
   record Note(String text) implements Effect {}
+
+  /** How much an event matters to operators. */
+  enum Severity {
+    /** A violated invariant: a fault of this program. */
+    ERROR,
+    /** Rare enough for every log. */
+    INFO,
+    /** One for each task, report or answer. */
+    DEBUG
+  }
+
+  /** A line of the log that programs can read: an event's name and its key=value fields. */
+  record Event(Severity severity, String text) implements Effect {}
 }
--- a/src/main/java/org/snowturn/core/act/Ledger.java
+++ b/src/main/java/org/snowturn/core/act/Ledger.java
@@ -12,6 +12,7 @@
 import java.util.function.IntPredicate;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.calls.Calls;
+import org.snowturn.core.evidence.EndEvidence;
 import org.snowturn.core.picture.Job;
 import org.snowturn.core.picture.Machine;
 import org.snowturn.core.picture.MachineBook;
@@ -58,6 +59,7 @@
   private final MachineBook machines;
   private final Quota quota;
   private final Cancellations cancellations;
+  private final AttemptGuard guard;
   private final SubmissionParts parts;
   private final long token;
   private final Map<String, Job> jobs = new HashMap<>();
@@ -83,7 +85,9 @@
       MachineBook machines,
       Quota quota,
       Cancellations cancellations,
+      AttemptGuard guard,
       long token) {
+    this.guard = guard;
     this.cancellations = cancellations;
     this.calls = calls;
     this.gate = gate;
@@ -203,9 +207,7 @@
 
   private void stopAll(Job j) {
     for (int t = 0; t < j.state.length; t++) {
-      if (j.state[t] == Job.PLACING) {
-        release(j, t);
-      } else if (j.isBound(t)) {
+      if (j.isBound(t)) {
         stop(j, t);
       }
     }
@@ -227,7 +229,7 @@
     listeners.forEach(l -> l.over(j, phase));
     for (int t = 0; t < j.state.length; t++) {
       if (j.isBound(t)) {
-        release(j, t);
+        detach(j, t); // not to wait again: nothing of the job is ever started any more
       }
     }
     for (Slot s : j.chunks) {
@@ -500,7 +502,7 @@
     }
     Machine m = machines.get(j.machine[t]);
     if (j.unwanted() || j.session[t] != m.session || m.gone) {
-      release(j, t);
+      release(j, t, new EndEvidence.NeverSent());
       return;
     }
     j.enter(t, Job.STARTING);
@@ -508,6 +510,11 @@
     m.outbox.add(start(j, t));
   }
 
+  /** Whether a start that was decided earlier may leave for this machine now. */
+  public boolean mayStart(Machine m, Command start) {
+    return guard.mayStart(m, jobs.get(start.job()), start);
+  }
+
   public Command start(Job j, int t) {
     return new Command(Command.Op.START, j.spec.id(), t, j.attempt[t], 0);
   }
@@ -521,7 +528,7 @@
   /** Tells a bound task to stop; it stays bound until it is seen to have ended. */
   public void stop(Job j, int t) {
     if (j.state[t] == Job.PLACING) {
-      release(j, t);
+      release(j, t, new EndEvidence.NeverSent());
       return;
     }
     j.stopping.set(t);
@@ -545,7 +552,7 @@
         j.backOffUntil = calls.now() + NOT_RECORDED_MS;
         for (int t = j.layout.from(c); t < j.layout.to(c); t++) {
           if (j.state[t] == Job.PLACING) {
-            release(j, t);
+            release(j, t, new EndEvidence.NeverSent());
           }
         }
         return;
@@ -553,19 +560,26 @@
     }
   }
 
-  /** The task has certainly ended without a result: it waits again. */
-  public void release(Job j, int t) {
+  /** The task waits again if the evidence proves that its attempt has ended without a result. */
+  public void release(Job j, int t, EndEvidence evidence) {
+    if (guard.hasEnded(j, t, evidence)) {
+      detach(j, t);
+      changed = true;
+      finishIfOver(j);
+    }
+  }
+
+  private void detach(Job j, int t) {
     unbind(j, t);
     j.enter(t, Job.PENDING);
     j.pending++;
-    changed = true;
-    finishIfOver(j);
   }
 
   private void unbind(Job j, int t) {
     Machine m = machines.get(j.machine[t]);
     m.bound.remove(Job.ref(j.index, t));
-    // A start that still waits there would begin an attempt that the machine has been told to forget.
+    // A start that still waits there would begin an attempt that the machine has been told to
+    // forget.
     m.outbox.withdraw(start(j, t));
     m.count(j.priority, -1);
     m.use(j.spec, -1);
@@ -583,16 +597,24 @@
     j.machine[t] = -1;
   }
 
-  /** The task's result is kept by its machine until the record of it is durable. */
-  public void complete(Job j, int t) {
-    if (j.state[t] == Job.DONE) {
-      return;
-    }
-    if (j.isBound(t)) {
+  /** A bound task's attempt has ended with its result, if the evidence proves that. */
+  public void complete(Job j, int t, EndEvidence evidence) {
+    if (guard.hasEnded(j, t, evidence)) {
       unbind(j, t);
-    } else {
+      completed(j, t);
+    }
+  }
+
+  /** The result of a task that waits has turned up: an earlier attempt of it had ended with it. */
+  public void completeWaiting(Job j, int t) {
+    if (j.state[t] == Job.PENDING) {
       j.pending--;
+      completed(j, t);
     }
+  }
+
+  /** The task's result is kept by its machine until the record of it is durable. */
+  private void completed(Job j, int t) {
     j.enter(t, Job.DONE);
     j.done++;
     changed = true;
--- a/src/main/java/org/snowturn/core/act/Orders.java
+++ b/src/main/java/org/snowturn/core/act/Orders.java
@@ -97,7 +97,7 @@
   private boolean unlisted(Machine m, Report r, Job j, int t, boolean newest, List<Command> out) {
     Verdict v = newest ? Reconciliation.of(cases.unlisted(m, r, j, t, true)) : Verdict.WAIT;
     if (v == Verdict.RELEASE) {
-      ledger.release(j, t);
+      ledger.release(j, t, ReportCases.notListed(r, j, t, true));
       return true;
     }
     if (j.unwanted()) {
@@ -105,10 +105,11 @@
       return !ReportCases.inDoubt(m, j.attempt[t], t)
           || cancellations.lapsesInTime(j.cancelledAfter);
     }
-    if (v == Verdict.START) {
+    Command start = ledger.start(j, t);
+    if (v == Verdict.START && ledger.mayStart(m, start)) {
       // Repeated until listed: a start does nothing where the attempt is known already.
       repeatedStarts++;
-      out.add(ledger.start(j, t));
+      out.add(start);
       if (j.stopping.get(t)) {
         out.add(ledger.stopCommand(j, t));
       }
--- a/src/main/java/org/snowturn/core/act/Outbox.java
+++ b/src/main/java/org/snowturn/core/act/Outbox.java
@@ -37,6 +37,9 @@
 
     void reported(Report report);
 
+    /** Whether a start that was decided earlier may leave for the machine now. */
+    boolean mayStart(Machine m, Command start);
+
     /** The outbox has something to send and is not in the queue yet. */
     void wantsToSend(Outbox o);
 
@@ -122,7 +125,11 @@
       return;
     }
     List<Command> commands = new ArrayList<>(queue.values());
+    commands.removeIf(c -> c.op() == Command.Op.START && !host.mayStart(machine, c));
     queue.clear();
+    if (commands.isEmpty() && !probe) {
+      return;
+    }
     probe = false;
     busy = true;
     // From here until an answer the starts may be executed at any later time of the session.
@@ -135,6 +142,7 @@
     // Not known of a machine on which an earlier leader had nothing: most are in their first, and
     // the others refuse and tell.
     long session = Math.max(FIRST_SESSION, machine.session);
+    CommandLog.write(calls, "direct", machine, session, host.token(), commands);
     long sentAt = calls.now();
     calls.call(
         Effect.Target.WORKER,
--- a/src/main/java/org/snowturn/core/act/ReportCases.java
+++ b/src/main/java/org/snowturn/core/act/ReportCases.java
@@ -1,5 +1,6 @@
 package org.snowturn.core.act;
 
+import org.snowturn.core.evidence.EndEvidence;
 import org.snowturn.core.picture.Job;
 import org.snowturn.core.picture.Machine;
 import org.snowturn.core.recovery.Reconciliation;
@@ -45,6 +46,13 @@
         : reported > placed ? Reconciliation.Session.LATER : Reconciliation.Session.EARLIER;
   }
 
+  /** What a report that does not list a task offers as proof of its attempt's end. */
+  static EndEvidence notListed(Report r, Job j, int t, boolean checkIn) {
+    return r.session() > j.session[t]
+        ? new EndEvidence.LaterSession(r.session())
+        : new EndEvidence.NotListed(r.token(), r.session(), checkIn);
+  }
+
   /** What the table is asked of a task that is on the report; {@code j} is null if unknown. */
   Reconciliation.Case listed(Machine m, Report r, TaskReport t, Job j) {
     Seen seen =
--- a/src/main/java/org/snowturn/core/act/Reports.java
+++ b/src/main/java/org/snowturn/core/act/Reports.java
@@ -4,6 +4,8 @@
 import org.agrona.collections.LongHashSet;
 import org.snowturn.config.Settings;
 import org.snowturn.core.calls.Calls;
+import org.snowturn.core.evidence.EndEvidence;
+import org.snowturn.core.evidence.EndEvidence.ReportedEnded;
 import org.snowturn.core.picture.Catalog;
 import org.snowturn.core.picture.Job;
 import org.snowturn.core.picture.Machine;
@@ -146,9 +148,9 @@
       Verdict v = Reconciliation.of(cases.listed(m, r, t, j));
       if (ReportCases.here(m, j, t)) {
         listed.add(Job.ref(j.index, t.task()));
-        seen(m, j, t, v, mine);
+        seen(m, j, t, v, r);
       } else if (v == Verdict.COMPLETE) {
-        ledger.complete(j, t.task());
+        ledger.completeWaiting(j, t.task());
       }
     }
     m.unaccounted = unaccounted;
@@ -189,7 +191,7 @@
       Job j = ledger.job(ref);
       int t = Ledger.task(ref);
       if (j.session[t] < session) {
-        ledger.release(j, t);
+        ledger.release(j, t, new EndEvidence.LaterSession(session));
       }
     }
   }
@@ -200,7 +202,7 @@
       int t = Ledger.task(ref);
       if (!listed.contains(ref)
           && Reconciliation.of(cases.unlisted(m, r, j, t, false)) == Verdict.RELEASE) {
-        ledger.release(j, t);
+        ledger.release(j, t, ReportCases.notListed(r, j, t, false));
       }
     }
   }
@@ -214,7 +216,7 @@
     return out.toLongArray();
   }
 
-  private void seen(Machine m, Job j, TaskReport r, Verdict v, boolean mine) {
+  private void seen(Machine m, Job j, TaskReport r, Verdict v, Report report) {
     int t = r.task();
     switch (r.state()) {
       case FETCHING -> j.enter(t, Job.FETCHING);
@@ -241,18 +243,18 @@
       }
       case ENDED -> {
         if (v == Verdict.COMPLETE || v == Verdict.RELEASE) {
-          ended(m, j, t, r.why());
+          ended(m, j, t, r.why(), new ReportedEnded(report.token(), report.session()));
         }
       }
       default -> {}
     }
-    if (mine && j.isBound(t)) {
+    if (report.token() == token && j.isBound(t)) {
       // Seen under this token: from now on only its own end releases it.
       ledger.known(j, t);
     }
   }
 
-  private void ended(Machine m, Job j, int t, TaskReport.Why why) {
+  private void ended(Machine m, Job j, int t, TaskReport.Why why, ReportedEnded evidence) {
     long now = calls.now();
     switch (why) {
       case DONE -> {
@@ -263,7 +265,7 @@
           m.finishedWork(median > 0 && j.runTimes.size() > 1 ? ran / median : 1);
         }
         failures.succeeded(m, j);
-        ledger.complete(j, t);
+        ledger.complete(j, t, evidence);
         return;
       }
       case ERROR -> failures.failed(m, j, t);
@@ -275,7 +277,7 @@
       case UNKNOWN_JOB -> j.backOffUntil = now + 2_000;
       default -> {}
     }
-    ledger.release(j, t);
+    ledger.release(j, t, evidence);
   }
 
   /** Releases what was on machines whose session has certainly ended. */
@@ -289,13 +291,22 @@
       m.deadSession = Math.max(m.deadSession, ledger.job(ref).session[Ledger.task(ref)]);
     }
     m.acknowledged = false;
-    releaseAll(m);
+    releaseAll(m, new EndEvidence.LeaseLapsed());
   }
 
-  /** Releases everything on a machine that is gone or whose sessions so far have ended. */
-  public void releaseAll(Machine m) {
+  /** Releases everything on a machine whose deletion the cloud has confirmed. */
+  public void machineDeleted(Machine m) {
+    releaseAll(m, new EndEvidence.MachineDeleted());
+  }
+
+  /** Releases everything on a machine that the cloud lists as failed. */
+  public void machineFailed(Machine m) {
+    releaseAll(m, new EndEvidence.MachineFailed());
+  }
+
+  private void releaseAll(Machine m, EndEvidence evidence) {
     for (long ref : copy(m.bound)) {
-      ledger.release(ledger.job(ref), Ledger.task(ref));
+      ledger.release(ledger.job(ref), Ledger.task(ref), evidence);
     }
     m.outbox.drop();
   }
--- a/src/main/java/org/snowturn/core/authority/Election.java
+++ b/src/main/java/org/snowturn/core/authority/Election.java
@@ -116,6 +116,7 @@
 
   private final CancellationWatermark watermark;
   private boolean wasCurrent = true;
+  private String loggedGround = "none";
   private BooleanSupplier betterElsewhere = () -> false;
   private boolean heldBack;
   private long tickedAt = Job.UNKNOWN;
@@ -241,6 +242,7 @@
     tickedAt = now;
     long quietUntil = startedAt + PROMISE_MS + 200;
     quiet = quiet && now < quietUntil && notLeading.size() < settings.peers().size();
+    logAuthority();
     probe();
     tell();
     watermark.tick(role == Role.LEADING);
@@ -276,6 +278,29 @@
     }
   }
 
+  /** Logs when this node's right to act begins, ends or comes to rest on something else. */
+  private void logAuthority() {
+    String ground = ground();
+    if (!ground.equals(loggedGround)) {
+      loggedGround = ground;
+      calls
+          .events()
+          .info("authority")
+          .with("token", token)
+          .with("ground", ground)
+          .with("lease", lease)
+          .with("until_ms", authorityUntil - calls.now())
+          .write();
+    }
+  }
+
+  private String ground() {
+    if (role != Role.LEADING || !watermark.current()) {
+      return "none";
+    }
+    return calls.now() < authorityUntil ? "lease" : promisedByAll() ? "promises" : "none";
+  }
+
   private void noteHorizon() {
     if (wasCurrent != watermark.current()) {
       wasCurrent = !wasCurrent;
--- a/src/main/java/org/snowturn/core/calls/Calls.java
+++ b/src/main/java/org/snowturn/core/calls/Calls.java
@@ -51,6 +51,7 @@
   private long timerOrder;
   private long retryAfterMs;
   private List<Effect> effects = new ArrayList<>();
+  private final EventLog events = new EventLog(e -> effects.add(e));
   private long nextId = 1;
   private long now;
   private long wall;
@@ -184,6 +185,11 @@
     effects.add(new Effect.ToPeers(message));
   }
 
+  /** Structured lines for the log. */
+  public EventLog events() {
+    return events;
+  }
+
   public void note(String text) {
     effects.add(new Effect.Note(text));
   }
--- a/src/main/java/org/snowturn/core/decide/Fleet.java
+++ b/src/main/java/org/snowturn/core/decide/Fleet.java
@@ -225,7 +225,7 @@
       }
       if (c.state() == CloudMachine.State.FAILED && !m.deleting) {
         calls.note(m.id + " failed, says the cloud");
-        reports.releaseAll(m);
+        reports.machineFailed(m);
         m.deleting = true;
       }
       boolean neverCameUp =
@@ -283,6 +283,7 @@
     nextDeleteAt = now + (long) (1000 * DELETE_EVERY / settings.cloudLimits().rps());
     for (Machine m : batch) {
       m.deleteRetryAt = now + TIMEOUT_MS + 500;
+      calls.events().info("delete").with("machine", m.id).with("bound", m.bound.size()).write();
     }
     calls.call(
         Effect.Target.CLOUD,
@@ -295,10 +296,11 @@
           deletesInFlight--;
           for (Machine m : batch) {
             if (outcome == Outcome.ANSWERED && status == 200) {
+              calls.events().info("deleted").with("machine", m.id).write();
               machines.retire(m);
               m.deleted = true;
               freed(m);
-              reports.releaseAll(m);
+              reports.machineDeleted(m);
             } else {
               m.deleteRetryAt = calls.now() + 1000;
             }
@@ -510,6 +512,16 @@
 
   private void send(Hire h) {
     h.tries++;
+    calls
+        .events()
+        .info("hire")
+        .with("request", h.name)
+        .with("type", h.kind.type)
+        .with("zone", machines.zoneName(h.kind.zone))
+        .with("spot", h.kind.spot)
+        .with("count", h.count)
+        .with("try", h.tries)
+        .write();
     calls.call(
         Effect.Target.CLOUD,
         null,
--- a/src/main/java/org/snowturn/core/term/Leader.java
+++ b/src/main/java/org/snowturn/core/term/Leader.java
@@ -11,7 +11,9 @@
 import org.snowturn.config.Tunables;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
+import org.snowturn.core.act.AttemptGuard;
 import org.snowturn.core.act.Cancellations;
+import org.snowturn.core.act.CommandLog;
 import org.snowturn.core.act.Failures;
 import org.snowturn.core.act.JobGraph;
 import org.snowturn.core.act.Ledger;
@@ -65,6 +67,7 @@
 
   private final MachineBook machines;
   private final Writer writer;
+  private final AttemptGuard guard;
   private final Ledger ledger;
   private final Reports reports;
   private final Orders orders;
@@ -114,9 +117,17 @@
     StandingFleet standing = new StandingFleet(calls, writer);
     FleetPolicy policy = FleetPolicy.of(settings, catalog::quickestBootS, standing::present);
     Cancellations cancellations = cancellations(watermark);
+    guard = new AttemptGuard(calls, machines, token, Reports.lapseMs(settings));
     ledger =
         new Ledger(
-            calls, gate, writer, machines, new Quota(settings.teams()), cancellations, token);
+            calls,
+            gate,
+            writer,
+            machines,
+            new Quota(settings.teams()),
+            cancellations,
+            guard,
+            token);
     graph = new JobGraph(calls, gate, ledger, writer);
     failures = new Failures(calls, tunables.sickErrors());
     ledger.listen(graph);
@@ -290,6 +301,7 @@
     g.put("snowturn.machines", (double) machines.present().size());
     g.putAll(healthChecks.gauges());
     g.putAll(failures.gauges());
+    g.putAll(guard.gauges());
     g.put("snowturn.restarts", (double) speculator.restarts());
     g.put("snowturn.writes.waiting", (double) writer.waiting());
     g.put("snowturn.placements", (double) ledger.placements());
@@ -395,7 +407,7 @@
 
   public void checkIn(long exchange, Report r) {
     if (!hasAuthority()) {
-      calls.refuse(exchange, 503, 0);
+      refuse(exchange, r, "no_authority");
       return;
     }
     Machine m = machines.getOrCreate(r.machine());
@@ -404,17 +416,17 @@
     }
     if (m.gone || r.session() <= m.deadSession) {
       // Deleted, or a session that has certainly ended: nothing may renew it.
-      calls.refuse(exchange, 503, 0);
+      refuse(exchange, r, "session_over");
       return;
     }
     if (!termRecovery.loaded()) {
       termRecovery.keep(m, r);
       m.lastAnswerAt = calls.now();
-      calls.answer(exchange, 200, Command.answer(token, orders.stops(r)));
+      answer(exchange, m, r, orders.stops(r));
       return;
     }
     if (healthChecks.late(m, r)) {
-      calls.refuse(exchange, 503, 0);
+      refuse(exchange, r, "late_copy");
       return;
     }
     healthChecks.heard();
@@ -423,11 +435,39 @@
     Orders.Answer answer = orders.to(m, r);
     if (!answer.renews()) {
       calls.note(m.id + " may still start what is cancelled: its lease is not renewed");
-      calls.refuse(exchange, 503, 0);
+      refuse(exchange, r, "start_in_doubt_of_cancelled_job");
       return;
     }
     reports.renewed(m);
-    calls.answer(exchange, 200, Command.answer(token, answer.commands()));
+    answer(exchange, m, r, answer.commands());
+  }
+
+  /** Answers a check-in with what renews the machine's lease. */
+  private void answer(long exchange, Machine m, Report r, List<Command> commands) {
+    logCheckIn(r, "renewed");
+    CommandLog.write(calls, "answer", m, r.session(), token, commands);
+    calls.answer(exchange, 200, Command.answer(token, commands));
+  }
+
+  private void refuse(long exchange, Report r, String why) {
+    logCheckIn(r, why);
+    calls.refuse(exchange, 503, 0);
+  }
+
+  private void logCheckIn(Report r, String result) {
+    if (calls.events().debug()) {
+      calls
+          .events()
+          .debug("check_in")
+          .with("machine", r.machine())
+          .with("session", r.session())
+          .with("report", r.seq())
+          .with("seen_token", r.token())
+          .with("token", token)
+          .with("result", result)
+          .with("cancellations_known_ms_ago", watermark.ageMs())
+          .write();
+    }
   }
 
   @Override
@@ -466,6 +506,11 @@
     termRecovery.heard(m);
   }
 
+  @Override
+  public boolean mayStart(Machine m, Command start) {
+    return ledger.mayStart(m, start);
+  }
+
   @Override
   public void wantsToSend(Outbox o) {
     toSend.add(o);
--- a/src/main/java/org/snowturn/core/term/TermRecovery.java
+++ b/src/main/java/org/snowturn/core/term/TermRecovery.java
@@ -171,6 +171,7 @@
 
   private void read(String prefix, Runnable next) {
     read.put(prefix, null);
+    long sentAt = calls.now();
     new Loader(calls, ended)
         .read(
             prefix,
@@ -178,6 +179,14 @@
               if (ended.getAsBoolean()) {
                 return;
               }
+              calls
+                  .events()
+                  .info("records_read")
+                  .with("prefix", prefix)
+                  .with("revision", range.epoch())
+                  .with("records", range.entries().size())
+                  .with("took_ms", calls.now() - sentAt)
+                  .write();
               read.put(prefix, range);
               next.run();
               if (!read.containsValue(null)) {
--- a/src/main/java/org/snowturn/core/users/JobApi.java
+++ b/src/main/java/org/snowturn/core/users/JobApi.java
@@ -123,6 +123,14 @@
     if (view.phase() == JobView.Phase.ABORTED) {
       cancelled.tell(view.id());
     }
+    if (calls.events().debug()) {
+      calls
+          .events()
+          .debug("user_answer")
+          .with("job", view.id())
+          .with("phase", view.phase().wire())
+          .write();
+    }
     calls.answer(exchange, 200, body);
   }
 
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -86,6 +86,7 @@
     this.settings = settings;
     this.controller =
         new Controller(settings, tunables, UUID.randomUUID().toString(), beganNanos / 1_000_000);
+    controller.logDetails(LOG.isDebugEnabled());
   }
 
   /** Starts serving; returns an exit status, or {@link #KEEPS_RUNNING}. */
@@ -259,6 +260,16 @@
       peers.send(p.message());
     } else if (e instanceof Effect.Note n) {
       LOG.info("{}", n.text());
+    } else if (e instanceof Effect.Event event) {
+      log(event);
+    }
+  }
+
+  private static void log(Effect.Event event) {
+    switch (event.severity()) {
+      case ERROR -> LOG.error("{}", event.text());
+      case INFO -> LOG.info("{}", event.text());
+      default -> LOG.debug("{}", event.text());
     }
   }
 
--- a/src/test/java/org/snowturn/core/act/RenewalTest.java
+++ b/src/test/java/org/snowturn/core/act/RenewalTest.java
@@ -87,6 +87,11 @@
         @Override
         public void reported(Report report) {}
 
+        @Override
+        public boolean mayStart(Machine m, Command start) {
+          return true;
+        }
+
         @Override
         public void wantsToSend(Outbox o) {}
 
@@ -98,7 +103,9 @@
     Settings settings = TestSettings.with();
     FormatGate gate = new FormatGate(settings, calls);
     Writer writer = new Writer(calls, new TestWriterHost(TOKEN), settings::stateLimits, r -> r);
-    ledger = new Ledger(calls, gate, writer, machines, new Quota(settings.teams()), known, TOKEN);
+    AttemptGuard guard = new AttemptGuard(calls, machines, TOKEN, Reports.lapseMs(settings));
+    Quota quota = new Quota(settings.teams());
+    ledger = new Ledger(calls, gate, writer, machines, quota, known, guard, TOKEN);
     reports =
         new Reports(
             calls,
