Soak: real controllers under drawn faults, judged by what workers, users and the state service saw

The scale run lets one thing fail once and asks for rates; nothing played overlapping faults on real processes, nor kept what would tell the cause of a break. Deployment is cut out of ScaleRun and serves both, RandomJobs out of Chaos. ran_twice names both attempts, machines and times.

--- a/src/lab/java/org/snowturn/lab/ControllerProcess.java
+++ b/src/lab/java/org/snowturn/lab/ControllerProcess.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** One real controller: its settings file, its process and what the process has used. */
@@ -21,6 +22,7 @@
   private final Path settings;
   private final Path log;
   private Process process;
+  private boolean ended;
   private ProcessUsage before = ProcessUsage.NOTHING;
   private ProcessUsage peak = ProcessUsage.NOTHING;
 
@@ -44,15 +46,35 @@
   }
 
   /** Starts the process with the given command line, to which the settings file is added. */
-  void start(List<String> command, Path workingDirectory) throws IOException {
+  void start(List<String> command, Path workingDirectory, Map<String, String> environment)
+      throws IOException {
     List<String> all = new ArrayList<>(command);
     all.add(settings.toAbsolutePath().toString());
-    process =
+    ProcessBuilder builder =
         new ProcessBuilder(all)
             .directory(workingDirectory.toFile())
             .redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
-            .start();
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    builder.environment().putAll(environment);
+    process = builder.start();
+    ended = false;
+  }
+
+  /** Lets the process stand still, or go on. */
+  void pause(boolean on) throws IOException, InterruptedException {
+    if (alive()) {
+      new ProcessBuilder("kill", on ? "-STOP" : "-CONT", "" + process.pid()).start().waitFor();
+    }
+  }
+
+  /** Whether the process has ended though nobody has ended it. */
+  boolean endedByItself() {
+    return process != null && !ended && !process.isAlive();
+  }
+
+  /** All that the process and its predecessors have logged. */
+  Path log() {
+    return log;
   }
 
   boolean alive() {
@@ -65,6 +87,7 @@
       return;
     }
     sample();
+    ended = true;
     process.destroyForcibly();
     try {
       process.waitFor(KILL_WAIT_S, TimeUnit.SECONDS);
--- a/src/lab/java/org/snowturn/lab/Lab.java
+++ b/src/lab/java/org/snowturn/lab/Lab.java
@@ -4,12 +4,14 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
-/** Developers' tools: scale runs, tables of their results, copies and draws of deployments. */
+/**
+ * Developers' tools: scale and soak runs, tables of their results, copies and draws of deployments.
+ */
 @Command(
     name = "snowturn-lab",
     mixinStandardHelpOptions = true,
-    subcommands = {Scale.class, Capacity.class, Days.class},
-    description = "Scale runs of real controllers, their tables, and days of one's own.")
+    subcommands = {Scale.class, Soak.class, Capacity.class, Days.class},
+    description = "Scale and soak runs of real controllers, tables, and days of one's own.")
 public final class Lab {
   Lab() {}
 
--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/PeerAddresses.java
@@ -0,0 +1,12 @@
+package org.snowturn.lab;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/** Where one controller finds another. */
+interface PeerAddresses {
+  /** Each finds the other where it listens. */
+  PeerAddresses DIRECT = (from, to) -> to.peerBind;
+
+  InetSocketAddress of(ControllerProcess from, ControllerProcess to) throws IOException;
+}
--- a/src/lab/java/org/snowturn/lab/Scale.java
+++ b/src/lab/java/org/snowturn/lab/Scale.java
@@ -1,7 +1,6 @@
 package org.snowturn.lab;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -90,7 +89,7 @@
     List<String> command;
     Path root = Path.of("").toAbsolutePath();
     try {
-      plan.check(machineMemoryMb());
+      plan.check(MachineMemory.totalMb());
       command = RunLine.read(DEPLOY, root, heap);
     } catch (BadPlanException e) {
       throw new ParameterException(spec.commandLine(), e.getMessage());
@@ -103,13 +102,4 @@
     ScaleFiles.print(result, System.out);
     return result.broken().isEmpty() ? 0 : BROKEN;
   }
-
-  private static long machineMemoryMb() throws IOException {
-    String line =
-        Files.readAllLines(Path.of("/proc/meminfo")).stream()
-            .filter(l -> l.startsWith("MemTotal"))
-            .findFirst()
-            .orElse("MemTotal: 0 kB");
-    return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024;
-  }
 }
--- a/src/lab/java/org/snowturn/lab/ScalePlan.java
+++ b/src/lab/java/org/snowturn/lab/ScalePlan.java
@@ -132,7 +132,9 @@
               FIGURES,
               new Settings.StateLimits(stateRps, stateWrites, STATE_VALUE_KB, STATE_TXN_OPS),
               CLOUD,
-              connections));
+              connections,
+              0,
+              0));
     }
     return out;
   }
--- a/src/lab/java/org/snowturn/lab/ScaleRun.java
+++ b/src/lab/java/org/snowturn/lab/ScaleRun.java
@@ -1,23 +1,18 @@
 package org.snowturn.lab;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
-import org.snowturn.sim.Region;
-import org.snowturn.sim.RegionPlan;
+import org.snowturn.lab.Deployment.Part;
 import org.snowturn.sim.RegionStatus;
 
 /**
- * Plays a plan: hollow regions in this process, their controllers in processes of their own. Ends
- * all processes that it started, however it ends.
+ * Plays a plan on a deployment of its own: fills it, loads it, lets something fail, and measures.
  */
 final class ScaleRun implements AutoCloseable {
   private static final long STEP_MS = 1_000;
@@ -32,81 +27,31 @@
   private static final long REGION_OUT_MS = 20_000;
 
   private final ScalePlan plan;
-  private final List<String> command;
-  private final Path root;
-  private final Path dir;
   private final Consumer<String> progress;
-  private final List<Part> parts = new ArrayList<>();
-  private final Thread atExit = new Thread(this::killAll, "stop");
+  private final Deployment deployment;
+  private final Map<Part, RegionStatus> atMark = new HashMap<>();
   private ScaleResult.Builder result;
   private double fillS;
 
-  /** One region: its hollow part, and its processes. */
-  private static final class Part {
-    final RegionPlan plan;
-    final Region region;
-    final List<ControllerProcess> controllers = new ArrayList<>();
-    RegionStatus atMark;
-
-    Part(RegionPlan plan) {
-      this.plan = plan;
-      this.region = new Region(plan);
-    }
-
-    ControllerProcess named(String name) {
-      return controllers.stream().filter(c -> c.name.equals(name)).findFirst().orElse(null);
-    }
-  }
-
   ScaleRun(ScalePlan plan, List<String> command, Path root, Path dir, Consumer<String> progress) {
     this.plan = plan;
-    this.command = command;
-    this.root = root;
-    this.dir = dir;
     this.progress = progress;
+    this.deployment = new Deployment(command, root, dir, Map.of());
   }
 
   ScaleResult play() throws IOException, InterruptedException, TimeoutException {
-    Files.createDirectories(dir);
-    Runtime.getRuntime().addShutdownHook(atExit);
-    for (RegionPlan p : plan.parts()) {
-      open(new Part(p));
-    }
+    deployment.open(plan.parts());
     sleep(WORKERS_FIRST_S, "workers come up");
-    startControllers();
+    deployment.startControllers();
     fill();
     mark();
     load();
     return collect();
   }
 
-  private void open(Part part) throws IOException {
-    parts.add(part);
-    Region.Outside outside = part.region.open();
-    List<String> zones = part.plan.zones();
-    for (String name : part.plan.controllers()) {
-      String zone = zones.get(part.controllers.size() % zones.size());
-      part.controllers.add(new ControllerProcess(name, zone, dir));
-    }
-    Map<String, InetSocketAddress> serving = new HashMap<>();
-    for (ControllerProcess c : part.controllers) {
-      serving.put(c.name, c.serving);
-      c.configure(SettingsFile.of(c, part.controllers, part.plan, part.region, outside));
-    }
-    part.region.start(serving);
-  }
-
-  private void startControllers() throws IOException {
-    for (Part p : parts) {
-      for (ControllerProcess c : p.controllers) {
-        c.start(command, root);
-      }
-    }
-  }
-
   /** Until the standing tasks run, or for as long as that may take. */
   private void fill() throws InterruptedException, TimeoutException {
-    parts.forEach(p -> p.region.fill());
+    deployment.parts().forEach(p -> p.region.fill());
     long began = System.nanoTime();
     int seconds = 0;
     while (seconds < LONGEST_FILL_S && !filled()) {
@@ -120,7 +65,7 @@
   }
 
   private boolean filled() throws TimeoutException {
-    for (Part p : parts) {
+    for (Part p : deployment.parts()) {
       if (p.region.status().running() < p.region.standing() * FILLED) {
         return false;
       }
@@ -130,14 +75,14 @@
 
   private void mark() throws IOException, TimeoutException {
     result = new ScaleResult.Builder(plan, ProcessUsage.ownThreads(), fillS);
-    for (Part p : parts) {
-      p.atMark = p.region.status();
+    for (Part p : deployment.parts()) {
+      atMark.put(p, p.region.status());
       p.controllers.forEach(ControllerProcess::mark);
     }
   }
 
   private void load() throws IOException, InterruptedException, TimeoutException {
-    parts.forEach(p -> p.region.arrive());
+    deployment.parts().forEach(p -> p.region.arrive());
     int failsAt = plan.durationS() / 3;
     long began = System.nanoTime();
     boolean failed = plan.failure().kind() == Failure.Kind.NONE;
@@ -147,7 +92,7 @@
         fail();
       }
       sleep(1, null);
-      parts.forEach(p -> p.controllers.forEach(ControllerProcess::sample));
+      deployment.parts().forEach(p -> p.controllers.forEach(ControllerProcess::sample));
       if ((s + 1) % PROGRESS_EVERY_S == 0) {
         tell("load");
       }
@@ -156,7 +101,7 @@
   }
 
   private void fail() throws IOException, InterruptedException, TimeoutException {
-    Part first = parts.get(0);
+    Part first = deployment.parts().get(0);
     progress.accept("fails now: " + plan.failure());
     switch (plan.failure().kind()) {
       case LEADER -> {
@@ -164,7 +109,7 @@
         if (leader != null) {
           leader.kill();
           Thread.sleep(RESTART_MS);
-          leader.start(command, root);
+          deployment.start(leader);
         }
       }
       case ZONE -> {
@@ -179,7 +124,7 @@
         first.controllers.forEach(ControllerProcess::kill);
         Thread.sleep(RESTART_MS);
         for (ControllerProcess c : first.controllers) {
-          c.start(command, root);
+          deployment.start(c);
         }
       }
       case WORKERS -> first.region.failWorkers(plan.failure().workers());
@@ -188,11 +133,11 @@
   }
 
   private ScaleResult collect() throws IOException, TimeoutException {
-    for (Part p : parts) {
+    for (Part p : deployment.parts()) {
       RegionStatus now = p.region.status();
       Histogram urgent = p.region.urgentDelays();
       Histogram accepted = p.region.acceptDelays();
-      result.region(p.plan, p.atMark, now, urgent, accepted);
+      result.region(p.plan, atMark.get(p), now, urgent, accepted);
       for (ControllerProcess c : p.controllers) {
         c.sample();
         result.controller(p.plan.number(), c.name, c.name.equals(now.leader()), c.used());
@@ -210,7 +155,7 @@
 
   private void tell(String phase) throws TimeoutException {
     StringBuilder line = new StringBuilder(phase);
-    for (Part p : parts) {
+    for (Part p : deployment.parts()) {
       RegionStatus s = p.region.status();
       line.append(
           String.format(
@@ -227,18 +172,8 @@
     progress.accept(line.toString());
   }
 
-  private void killAll() {
-    parts.forEach(p -> p.controllers.forEach(ControllerProcess::kill));
-  }
-
   @Override
   public void close() {
-    killAll();
-    parts.forEach(p -> p.region.close());
-    try {
-      Runtime.getRuntime().removeShutdownHook(atExit);
-    } catch (IllegalStateException e) {
-      return; // already on the way out, where the hook has ended them
-    }
+    deployment.close();
   }
 }
--- a/src/lab/java/org/snowturn/lab/SettingsFile.java
+++ b/src/lab/java/org/snowturn/lab/SettingsFile.java
@@ -1,5 +1,6 @@
 package org.snowturn.lab;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
 import org.snowturn.sim.Region;
@@ -14,7 +15,9 @@
       List<ControllerProcess> all,
       RegionPlan plan,
       Region region,
-      Region.Outside outside) {
+      Region.Outside outside,
+      PeerAddresses addresses)
+      throws IOException {
     StringBuilder s = new StringBuilder();
     text(s, "node", self.name);
     text(s, "location", self.zone);
@@ -25,11 +28,11 @@
         s.append("[[peers]]\n");
         text(s, "node", p.name);
         text(s, "location", p.zone);
-        text(s, "addr", at(p.peerBind));
+        text(s, "addr", at(addresses.of(self, p)));
       }
     }
     s.append("[outside]\n");
-    text(s, "cloud", at(outside.cloud()));
+    text(s, "cloud", at(outside.cloud().get(self.name)));
     text(s, "state", at(outside.state().get(self.name)));
     s.append("[deployment]\ninitial_size = ").append(all.size()).append('\n');
     s.append("zones = [");
--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/Soak.java
@@ -0,0 +1,115 @@
+package org.snowturn.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The command {@code soak}: real controllers under drawn faults, seed after seed. */
+@Command(
+    name = "soak",
+    mixinStandardHelpOptions = true,
+    description = "Plays real controllers under drawn faults over loopback and checks all rules.")
+final class Soak implements Callable<Integer> {
+  private static final int BROKEN = 1;
+  private static final String RANGE = "[0-9]{1,9}(-[0-9]{1,9})?";
+  private static final int MOST_SEEDS = 10_000;
+  private static final Path DEPLOY = Path.of("deploy", "service.toml");
+
+  @Spec private CommandSpec spec;
+
+  @Option(names = "--seeds", description = "One seed, or the first and the last: A-B.")
+  private String seeds;
+
+  @Option(names = "--plan", description = "Plays this file's plan instead of drawing one.")
+  private Path planFile;
+
+  @Option(
+      names = "--workers",
+      description = "Hollow workers; if not given, the seed says: a few hundred now and then.")
+  private Integer workers;
+
+  @Option(
+      names = "--duration",
+      description = "Seconds within which faults begin. Default: ${DEFAULT-VALUE}.")
+  private int duration = 30;
+
+  @Option(
+      names = "--out",
+      description = "Folder for plans, logs and messages. Default: ${DEFAULT-VALUE}.")
+  private Path out = Path.of("target", "soak");
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    try {
+      List<SoakPlan> plans = plans();
+      long memoryMb = MachineMemory.totalMb();
+      for (SoakPlan plan : plans) {
+        plan.check(memoryMb);
+      }
+      Path root = Path.of("").toAbsolutePath();
+      return play(plans, RunLine.read(DEPLOY, root, 0), root);
+    } catch (BadPlanException e) {
+      throw new ParameterException(spec.commandLine(), e.getMessage());
+    }
+  }
+
+  private List<SoakPlan> plans() throws BadPlanException {
+    if ((planFile == null) == (seeds == null)) {
+      throw new BadPlanException("either --seeds or --plan is needed");
+    }
+    if (planFile != null) {
+      return List.of(SoakPlan.read(planFile));
+    }
+    if (!seeds.matches(RANGE)) {
+      throw new BadPlanException("--seeds: A or A-B expected, not " + seeds);
+    }
+    String[] ends = seeds.split("-");
+    long first = Long.parseLong(ends[0]);
+    long last = Long.parseLong(ends[ends.length - 1]);
+    if (last < first || last - first >= MOST_SEEDS) {
+      throw new BadPlanException("--seeds: from 1 to " + MOST_SEEDS + " seeds, first to last");
+    }
+    if (workers != null && workers < 1) {
+      throw new BadPlanException("--workers: must be from 1 to " + SoakPlan.MOST_WORKERS);
+    }
+    if (duration < 1 || duration > SoakPlan.LONGEST_S) {
+      throw new BadPlanException("--duration: must be from 1 to " + SoakPlan.LONGEST_S);
+    }
+    List<SoakPlan> plans = new ArrayList<>();
+    for (long seed = first; seed <= last; seed++) {
+      plans.add(SoakPlan.draw(seed, workers == null ? 0 : workers, duration));
+    }
+    return plans;
+  }
+
+  private int play(List<SoakPlan> plans, List<String> command, Path root)
+      throws IOException, InterruptedException, BadPlanException {
+    int[] results = new int[SoakVerdict.Result.values().length];
+    for (SoakPlan plan : plans) {
+      Path dir = out.resolve("seed-" + plan.seed());
+      Files.createDirectories(dir);
+      System.out.println("seed " + plan.seed() + ", plan " + dir.resolve("plan.txt"));
+      SoakVerdict verdict =
+          new SoakRun(plan, command, root, dir, line -> System.err.println("  " + line)).play();
+      results[verdict.result().ordinal()]++;
+      System.out.println(verdict.line());
+      verdict.details().forEach(d -> System.out.println("  " + d));
+    }
+    System.out.println(
+        results[SoakVerdict.Result.PASSED.ordinal()]
+            + " passed, "
+            + results[SoakVerdict.Result.FAILED.ordinal()]
+            + " failed, "
+            + results[SoakVerdict.Result.NOT_FINISHED.ordinal()]
+            + " not finished");
+    return results[SoakVerdict.Result.PASSED.ordinal()] == plans.size() ? 0 : BROKEN;
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/lab/SoakVerdict.java
@@ -0,0 +1,43 @@
+package org.snowturn.lab;
+
+import java.util.List;
+
+/**
+ * What came of a soak run.
+ *
+ * @param result in one word
+ * @param details what was broken, by rule, with tasks, attempts, machines and times
+ * @param starts tasks that were begun
+ * @param jobsOver jobs that users were told are over
+ * @param leaders changes of leader that machines have seen
+ */
+record SoakVerdict(
+    SoakPlan plan, Result result, List<String> details, long starts, long jobsOver, int leaders) {
+  /** How a run may end. */
+  enum Result {
+    PASSED,
+    /** A rule was broken, or an invariant of the program's own. */
+    FAILED,
+    /** What was to be judged was not reached. */
+    NOT_FINISHED
+  }
+
+  /** One line for people. */
+  String line() {
+    return "seed "
+        + plan.seed()
+        + ": "
+        + result.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ')
+        + ", "
+        + plan.workers()
+        + " workers, "
+        + plan.faults().size()
+        + " faults, "
+        + starts
+        + " starts, "
+        + jobsOver
+        + " jobs over, "
+        + leaders
+        + " changes of leader";
+  }
+}
--- a/src/lab/java/org/snowturn/sim/Chaos.java
+++ b/src/lab/java/org/snowturn/sim/Chaos.java
@@ -1,16 +1,16 @@
 package org.snowturn.sim;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import org.snowturn.wire.JobSpec;
 
 /** Random jobs and random faults, drawn from the world's seed, until a time; then all is healed. */
 final class Chaos {
+  private static final int LEAST_PAUSE_MS = 500;
+  private static final int MORE_PAUSE_MS = 5_000;
+
   private final World world;
   private final Random random;
   private long end;
-  private int jobs;
 
   Chaos(World world) {
     this.world = world;
@@ -19,50 +19,13 @@
 
   void start(long endMs) {
     end = endMs;
-    world.after(2000, this::job);
+    world.after(
+        2000,
+        () -> new RandomJobs(world, List.of("t", "u"), LEAST_PAUSE_MS, MORE_PAUSE_MS).until(endMs));
     world.after(8000, this::fault);
     world.after(endMs, this::heal);
   }
 
-  private void job() {
-    if (world.now > end) {
-      return;
-    }
-    String id = String.format("wk-%06d", ++jobs);
-    boolean service = random.nextInt(5) == 0;
-    Map<String, String> options = new java.util.HashMap<>();
-    options.put("tasks", "" + (1 + random.nextInt(service ? 3 : 9)));
-    options.put("cpus", "" + (1 + random.nextInt(3)));
-    options.put("image", "img-" + random.nextInt(3));
-    options.put("rank", service ? "production" : random.nextBoolean() ? "high" : "normal");
-    options.put("team", random.nextBoolean() ? "t" : "u");
-    if (random.nextInt(3) == 0) {
-      options.put("spread", "1");
-    }
-    if (random.nextInt(6) == 0) {
-      options.put("one-zone", "1");
-      options.remove("spread");
-    }
-    if (service || random.nextInt(4) == 0) {
-      options.put("ordinary", "1");
-    }
-    JobSpec spec = Scenario.spec(id, service ? "service" : "batch", options);
-    world.users.submit(spec, 2000 + random.nextInt(12_000), Map.of());
-    if (service || random.nextInt(5) == 0) {
-      world.after(
-          500 + random.nextInt(40_000),
-          () -> {
-            if (world.users.job(id).refused == null) {
-              world.users.cancel(id);
-            }
-          });
-    }
-    if (random.nextInt(4) == 0) {
-      world.after(random.nextInt(60_000), () -> world.users.repeat(id));
-    }
-    world.after(500 + random.nextInt(5000), this::job);
-  }
-
   private World.Node node() {
     return world.nodes.get(random.nextInt(world.nodes.size()));
   }
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/DirectedLinks.java
@@ -0,0 +1,40 @@
+package org.snowturn.sim;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Ways that are cut in one direction; all machines together count as one end. */
+final class DirectedLinks implements World.Links {
+  private record Way(String from, String to) {}
+
+  private final World world;
+
+  /** How many cuts there are on each way: they may overlap. */
+  private final Map<Way, Integer> cuts = new HashMap<>();
+
+  DirectedLinks(World world) {
+    this.world = world;
+  }
+
+  /** From now on nothing gets from one end to the other. */
+  void cut(String from, String to) {
+    cuts.merge(new Way(from, to), 1, Integer::sum);
+  }
+
+  /** Undoes one cut. */
+  void heal(String from, String to) {
+    cuts.computeIfPresent(new Way(from, to), (way, n) -> n > 1 ? n - 1 : null);
+  }
+
+  @Override
+  public long lateMs(String from, String to) {
+    if (cuts.isEmpty()) {
+      return 0;
+    }
+    return cuts.containsKey(new Way(end(from), end(to))) ? LOST : 0;
+  }
+
+  private String end(String name) {
+    return world.workers.containsKey(name) ? World.ALL_WORKERS : name;
+  }
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/MessageLog.java
@@ -0,0 +1,12 @@
+package org.snowturn.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Takes every message between the controllers and the stand-ins, for whoever looks into a run. */
+interface MessageLog {
+  /** Keeps nothing. */
+  MessageLog NONE = (atMs, from, to, what, body) -> {};
+
+  /** One message, as it is taken or given. */
+  void message(long atMs, String from, String to, String what, JsonNode body);
+}
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/MessageWriter.java
@@ -0,0 +1,28 @@
+package org.snowturn.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.io.Writer;
+
+/** Writes every message as a line: time, sender, receiver, what it is, its body. */
+final class MessageWriter implements MessageLog {
+  private final Writer out;
+
+  MessageWriter(Writer out) {
+    this.out = out;
+  }
+
+  @Override
+  public void message(long atMs, String from, String to, String what, JsonNode body) {
+    try {
+      out.write(atMs + " " + from + " -> " + to + " " + what);
+      if (body != null) {
+        out.write(" " + body);
+      }
+      out.write('\n');
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- a/src/lab/java/org/snowturn/sim/Region.java
+++ b/src/lab/java/org/snowturn/sim/Region.java
@@ -3,6 +3,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.io.Writer;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -30,6 +31,8 @@
 public final class Region implements AutoCloseable {
   private static final int USER_CONNECTIONS = 200;
   private static final long PROBE_MS = 500;
+  private static final long POLL_MS = 3_300;
+  private static final long LEASE_CHECK_MS = 100;
   private static final long SAMPLE_MS = 100;
   private static final long ANSWER_S = 30;
   private static final long BOOT_MS = 3_000;
@@ -49,6 +52,7 @@
   private final List<RemoteEndpoint> endpoints = new ArrayList<>();
   private final List<XnioWorker> threads = new ArrayList<>();
   private final Load load;
+  private final DirectedLinks links;
   private final Set<Long> tokens = new HashSet<>();
   private int workersPort;
   private long lastStarts;
@@ -57,15 +61,20 @@
   private boolean watchingPauses;
 
   /** Where a controller finds the outside, and what it is told of itself. */
-  public record Outside(Map<String, InetSocketAddress> state, InetSocketAddress cloud) {}
+  public record Outside(
+      Map<String, InetSocketAddress> state, Map<String, InetSocketAddress> cloud) {}
 
   /** Builds the region; nothing runs yet. */
   public Region(RegionPlan plan) {
     this.plan = plan;
     double cpus = Math.max(LEAST_CPUS, Math.ceil(plan.tasks() * ROOM / plan.workers()));
-    Sizes sizes = new Sizes(cpus, cpus * MEMORY_PER_CPU_GB, 3_300, false, 500, id -> address(id));
+    Sizes sizes =
+        new Sizes(
+            cpus, cpus * MEMORY_PER_CPU_GB, POLL_MS, false, LEASE_CHECK_MS, id -> address(id));
     this.world = World.ofProcesses(plan.seed(), new Settings[] {settings()}, sizes);
-    world.cloud.perZone = 0;
+    this.links = new DirectedLinks(world);
+    world.links(links);
+    world.cloud.perZone = plan.hireablePerZone();
     world.cloud.bootMs = BOOT_MS;
     world.cloud.listLagMs = (long) (plan.cloud().listLagS() * 1000);
     this.loop = new RealTime(world, "world-" + plan.number());
@@ -103,7 +112,10 @@
   /** The teams: each may use twice its even part of the region. */
   public List<Team> teams() {
     List<Team> out = new ArrayList<>();
-    double most = Math.ceil(2.0 * plan.tasks() / plan.teams()) + Load.LARGEST_JOB;
+    double most =
+        plan.teamCpus() > 0
+            ? plan.teamCpus()
+            : Math.ceil(2.0 * plan.tasks() / plan.teams()) + Load.LARGEST_JOB;
     for (int i = 0; i < plan.teams(); i++) {
       out.add(new Team(Load.team(i), most));
     }
@@ -236,6 +248,46 @@
     loop.post(() -> world.state.outage(ms));
   }
 
+  /** What can go wrong in this region. */
+  public RegionFaults faults() {
+    return new RegionFaults(world, loop, links);
+  }
+
+  /** Random jobs come for so long from now on, one within each so many milliseconds. */
+  public void randomJobs(long forMs, int everyMs) {
+    List<String> names = teams().stream().map(Team::name).toList();
+    loop.post(() -> new RandomJobs(world, names, 1, everyMs).until(world.now + forMs));
+  }
+
+  /** Users ask at all nodes within milliseconds, repeat and submit what never runs, for so long. */
+  public void insistentUsers(long forMs) {
+    loop.post(
+        () -> {
+          world.users.closeLooks(forMs);
+          world.users.oddRequests(forMs);
+        });
+  }
+
+  /** Every message from now on is written there, a line each. */
+  public void keepMessages(Writer out) {
+    loop.post(() -> world.messages = new MessageWriter(out));
+  }
+
+  /** Jobs that are open though nothing is in trouble any more; see {@code Rules.unsettled}. */
+  public List<String> unsettled(long answeredSince) throws TimeoutException {
+    return ask(() -> world.rules.unsettled(answeredSince));
+  }
+
+  /** Which controller leads by the leader key, or null. */
+  public String leaderByKey() throws TimeoutException {
+    return ask(world.state::leader);
+  }
+
+  /** Which controllers are ready for users. */
+  public List<String> ready() throws TimeoutException {
+    return ask(() -> endpoints.stream().filter(e -> e.up).map(e -> e.name).toList());
+  }
+
   /** What has happened so far. */
   public RegionStatus status() throws TimeoutException {
     return ask(this::now);
--- /dev/null
+++ b/src/lab/java/org/snowturn/sim/RegionFaults.java
@@ -0,0 +1,115 @@
+package org.snowturn.sim;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** What can go wrong with a region's network, outside and machines. From any thread. */
+public final class RegionFaults {
+  /** Stands for all machines at an end of a cut. */
+  public static final String WORKERS = World.ALL_WORKERS;
+
+  private final World world;
+  private final RealTime loop;
+  private final DirectedLinks links;
+
+  RegionFaults(World world, RealTime loop, DirectedLinks links) {
+    this.world = world;
+    this.loop = loop;
+    this.links = links;
+  }
+
+  private void forAWhile(long ms, Runnable begin, Runnable end) {
+    loop.post(
+        () -> {
+          begin.run();
+          world.after(ms, end);
+        });
+  }
+
+  /** Nothing gets from one end to the other; {@code workers} stands for all machines. */
+  public void cut(String from, String to, long ms) {
+    forAWhile(ms, () -> links.cut(from, to), () -> links.heal(from, to));
+  }
+
+  /** The state service refuses one controller alone. */
+  public void refuse(String controller, long ms) {
+    loop.post(() -> world.state.refuse(controller, ms));
+  }
+
+  /** The state service is out for everybody. */
+  public void outage(long ms) {
+    loop.post(() -> world.state.outage(ms));
+  }
+
+  /** The state service answers so many times slower. */
+  public void slowState(int times, long ms) {
+    forAWhile(ms, () -> world.state.slow = times, () -> world.state.slow = 1);
+  }
+
+  /** That share of the transactions is carried out, and only the answer is lost. */
+  public void loseAnswers(double share, long ms) {
+    forAWhile(ms, () -> world.state.loseReplies = share, () -> world.state.loseReplies = 0);
+  }
+
+  /** That share of the transactions gets no answer and is carried out seconds later. */
+  public void lateTransactions(double share, long ms) {
+    forAWhile(ms, () -> world.state.lateTxns = share, () -> world.state.lateTxns = 0);
+  }
+
+  /** Direct commands are held up for so long, or up to twice that. */
+  public void lateCommands(long lateMs, long ms) {
+    forAWhile(ms, () -> world.delayCommands(lateMs), () -> world.delayCommands(0));
+  }
+
+  /** A copy of each report comes once more, up to so much later. */
+  public void copyReports(long mostMs, long ms) {
+    forAWhile(ms, () -> world.copyReports(mostMs), () -> world.copyReports(0));
+  }
+
+  /** Check-ins wait so long on their way; direct answers do not. */
+  public void slowReports(long lateMs, long ms) {
+    forAWhile(ms, () -> world.slowReportsMs = lateMs, () -> world.slowReportsMs = 0);
+  }
+
+  private void onWorkers(int count, Consumer<StandInWorker> then) {
+    loop.post(
+        () -> {
+          List<StandInWorker> up = new ArrayList<>(world.workers.values());
+          up.removeIf(w -> w.dead || w.hung);
+          Collections.shuffle(up, world.random);
+          up.stream().limit(count).forEach(then);
+        });
+  }
+
+  /** Some machines stand still, with all that runs there. */
+  public void hangWorkers(int count, long ms) {
+    onWorkers(count, w -> Scenario.hang(world, w, ms));
+  }
+
+  /** Some machines stop on their own. */
+  public void killWorkers(int count) {
+    onWorkers(count, w -> world.cloud.fail(w.rented));
+  }
+
+  /** The cloud takes some machines away. */
+  public void takeWorkers(int count) {
+    onWorkers(count, w -> world.cloud.end(w.rented.id));
+  }
+
+  /** Some machines fail whatever starts there. */
+  public void sickWorkers(int count, long ms) {
+    onWorkers(
+        count,
+        w -> {
+          w.sick = true;
+          world.after(ms, () -> w.sick = false);
+        });
+  }
+
+  /** Users call off so many jobs that run, within a fifth of a second. */
+  public void cancelJobs(int count) {
+    loop.post(() -> world.users.cancelNow(count, 0));
+  }
+}
--- a/src/lab/java/org/snowturn/sim/RegionPlan.java
+++ b/src/lab/java/org/snowturn/sim/RegionPlan.java
@@ -18,6 +18,8 @@
  * @param state limits of the state service
  * @param cloud limits of the cloud
  * @param maxConnections sockets of a controller
+ * @param hireablePerZone how many more machines of each kind the cloud has in each zone
+ * @param teamCpus the most CPUs that a team's tasks may use; 0: twice its even part
  */
 public record RegionPlan(
     int number,
@@ -31,4 +33,6 @@
     Settings.Workers figures,
     Settings.StateLimits state,
     Settings.CloudLimits cloud,
-    int maxConnections) {}
+    int maxConnections,
+    int hireablePerZone,
+    double teamCpus) {}
--- a/src/lab/java/org/snowturn/sim/RemoteEndpoint.java
+++ b/src/lab/java/org/snowturn/sim/RemoteEndpoint.java
@@ -13,6 +13,8 @@
 /** A controller that is a process of its own, reached over loopback. */
 final class RemoteEndpoint extends Endpoint {
   private static final String RUNS = "/v2/runs";
+  private static final String READY = "/ready";
+  private static final String USERS = "users";
   private static final int CHECK_IN_TIMEOUT_MS = 4_000;
   private static final int SUBMIT_TIMEOUT_MS = 5_000;
   private static final int POLL_TIMEOUT_MS = 2_000;
@@ -48,6 +50,7 @@
 
   @Override
   void checkIn(String from, JsonNode report, Answer answer) {
+    world.messages.message(world.now, from, name, "/checkin", report);
     links.on(
         from,
         addr,
@@ -59,18 +62,20 @@
                 CHECK_IN_TIMEOUT_MS,
                 (outcome, status, body, retryAfterS) -> {
                   JsonNode json = parsed(body);
-                  loop.post(() -> checkedIn(outcome, status, json, answer));
+                  loop.post(() -> checkedIn(from, outcome, status, json, answer));
                 }));
   }
 
-  private void checkedIn(Outcome outcome, int status, JsonNode body, Answer answer) {
+  private void checkedIn(String from, Outcome outcome, int status, JsonNode body, Answer answer) {
     boolean answered = outcome == Outcome.ANSWERED;
     if (answered && status == 200) {
       answeredWorkersAt = world.now;
     }
     // When the answer left its node cannot be seen from here: no start is judged by it.
     world.answerLeftAt = Long.MIN_VALUE;
-    answer.on(answered ? status : 0, body);
+    int got = answered ? status : 0;
+    world.messages.message(world.now, name, from, "" + got, body);
+    world.send(name, from, () -> answer.on(got, body));
   }
 
   @Override
@@ -89,10 +94,14 @@
 
   /** Asks whether the node is ready, as the load balancer does. */
   void probe() {
-    ask("GET", "/ready", null, PROBE_TIMEOUT_MS, (status, body) -> up = status == 200);
+    ask("GET", READY, null, PROBE_TIMEOUT_MS, (status, body) -> up = status == 200);
   }
 
   private void ask(String method, String path, byte[] body, int timeoutMs, Answer answer) {
+    boolean probe = path.equals(READY);
+    if (!probe) {
+      world.messages.message(world.now, USERS, name, method + " " + path, null);
+    }
     usersThread.execute(
         () ->
             users.call(
@@ -103,7 +112,13 @@
                 (outcome, status, bytes, retryAfterS) -> {
                   JsonNode json = parsed(bytes);
                   int got = outcome == Outcome.ANSWERED ? status : 0;
-                  loop.post(() -> answer.on(got, json));
+                  loop.post(
+                      () -> {
+                        if (!probe) {
+                          world.messages.message(world.now, name, USERS, got + " " + path, json);
+                        }
+                        answer.on(got, json);
+                      });
                 }));
   }
 
--- a/src/lab/java/org/snowturn/sim/Rules.java
+++ b/src/lab/java/org/snowturn/sim/Rules.java
@@ -25,10 +25,15 @@
   private static final long JUST_NOW_MS = 100;
 
   /** A task that was started on a machine, and may have left it since. */
-  private record Started(StandInWorker on, StandInWorker.Task task) {
+  private record Started(StandInWorker on, StandInWorker.Task task, long atMs) {
     boolean present() {
       return task.present && on.has(task);
     }
+
+    @Override
+    public String toString() {
+      return "attempt " + task.attempt + " on " + on.rented.id + " since " + atMs;
+    }
   }
 
   private final Map<String, List<Started>> started = new HashMap<>();
@@ -66,13 +71,14 @@
     int[] otherZone = {0};
     List<Started> ofJob = started.computeIfAbsent(t.job, k -> new ArrayList<>());
     ofJob.removeIf(s -> !s.present());
+    Started now = new Started(w, t, world.now);
     for (Started s : ofJob) {
       if (s.task.index == t.index) {
-        broke("ran_twice", t.name() + " on " + w.rented.id + " and " + s.on.rented.id);
+        broke("ran_twice", t.name() + ": " + s + ", and " + now);
       }
       (s.on.rented.zone.equals(w.rented.zone) ? sameZone : otherZone)[0]++;
     }
-    ofJob.add(new Started(w, t));
+    ofJob.add(now);
     if ((w.rented.spot && !spec.spot())
         || (spec.zone() != null && !spec.zone().equals(w.rented.zone))
         || (spec.spread() && sameZone[0] + 1 > spec.perZoneLimit())
@@ -217,6 +223,30 @@
         && taken.getOrDefault(w, 0) + s.memoryGb() / 4 <= w.world.sizes.memoryGb() / 4;
   }
 
+  /**
+   * What is left open once all troubles are over: jobs that were accepted, are not over, and have
+   * no task on any machine, or about which nobody has answered since then.
+   */
+  List<String> unsettled(long answeredSince) {
+    Set<String> placed = new HashSet<>();
+    for (StandInWorker w : world.workers.values()) {
+      w.tasks.values().stream().filter(StandInWorker.Task::alive).forEach(t -> placed.add(t.job));
+    }
+    List<String> open = new ArrayList<>();
+    for (Users.Mine m : world.users.all()) {
+      String id = m.spec.id();
+      if (!m.accepted || m.terminal != null) {
+        continue;
+      }
+      if (m.answeredAt < answeredSince) {
+        open.add(id + " was last answered about at " + m.answeredAt);
+      } else if (m.wantsCancel || !placed.contains(id)) {
+        open.add(id + (m.wantsCancel ? " is not called cancelled" : " runs nowhere"));
+      }
+    }
+    return open;
+  }
+
   /**
    * At the end of a day: so much of each class, of each team and of each class's largest jobs must
    * have been served, and the largest begun in time. Largest is the tenth of a class with the most
--- a/src/lab/java/org/snowturn/sim/StandInServer.java
+++ b/src/lab/java/org/snowturn/sim/StandInServer.java
@@ -22,13 +22,17 @@
  */
 final class StandInServer {
   private static final String ANY = "0.0.0.0";
+  private static final String STATE = "state";
+  private static final String CLOUD = "cloud";
+  private static final String SOMEBODY = "somebody";
 
   private final World world;
   private final RealTime loop;
   private final Map<Integer, String> stateClients = new ConcurrentHashMap<>();
+  private final Map<Integer, String> cloudClients = new ConcurrentHashMap<>();
   private Undertow state;
   private Undertow workers;
-  private int cloudPort;
+  private final Map<String, InetSocketAddress> cloud = new ConcurrentHashMap<>();
   private int workersPort;
 
   StandInServer(World world, RealTime loop) {
@@ -42,7 +46,7 @@
   Map<String, InetSocketAddress> start(
       List<String> controllers, XnioWorker stateThreads, XnioWorker workerThreads) {
     Undertow.Builder builder = Undertow.builder().setWorker(stateThreads).setHandler(this::outside);
-    for (int i = 0; i <= controllers.size(); i++) {
+    for (int i = 0; i < 2 * controllers.size(); i++) {
       builder.addHttpListener(0, InetAddress.getLoopbackAddress().getHostAddress());
     }
     state = builder.build();
@@ -55,17 +59,21 @@
             .build();
     workers.start();
     workersPort = port(workers, 0);
-    cloudPort = port(state, controllers.size());
     Map<String, InetSocketAddress> out = new ConcurrentHashMap<>();
     for (int i = 0; i < controllers.size(); i++) {
-      stateClients.put(port(state, i), controllers.get(i));
-      out.put(controllers.get(i), loopback(port(state, i)));
+      String name = controllers.get(i);
+      stateClients.put(port(state, i), name);
+      out.put(name, loopback(port(state, i)));
+      int cloudPort = port(state, controllers.size() + i);
+      cloudClients.put(cloudPort, name);
+      cloud.put(name, loopback(cloudPort));
     }
     return out;
   }
 
-  InetSocketAddress cloud() {
-    return loopback(cloudPort);
+  /** Where each controller finds the cloud. */
+  Map<String, InetSocketAddress> cloud() {
+    return cloud;
   }
 
   int workersPort() {
@@ -90,23 +98,43 @@
   }
 
   private void outside(HttpServerExchange x) {
-    String client = stateClients.get(x.getDestinationAddress().getPort());
+    int port = x.getDestinationAddress().getPort();
+    boolean toState = stateClients.containsKey(port);
+    String client = toState ? stateClients.get(port) : cloudClients.get(port);
+    String service = toState ? STATE : CLOUD;
     withBody(
         x,
         body -> {
           Effect.Call call = call(x, body);
-          World.Reply back = (outcome, status, json) -> answer(x, status, json);
+          World.Reply back = back(x, service, client);
           loop.post(
               () -> {
-                if (client == null) {
-                  world.cloud.take(call, back);
-                } else {
-                  world.state.take(client, call, back);
-                }
+                log(client, service, call.method() + " " + call.path(), body);
+                Runnable take =
+                    toState
+                        ? () -> world.state.take(client, call, back)
+                        : () -> world.cloud.take(call, back);
+                world.send(client, service, take);
               });
         });
   }
 
+  /** Sends a reply on its way, on which it may be lost. */
+  private World.Reply back(HttpServerExchange x, String from, String to) {
+    return (outcome, status, json) ->
+        world.send(
+            from,
+            to,
+            () -> {
+              log(from, to, "" + status, json);
+              answer(x, status, json);
+            });
+  }
+
+  private void log(String from, String to, String what, JsonNode body) {
+    world.messages.message(world.now, from, to, what, body);
+  }
+
   private static Effect.Call call(HttpServerExchange x, JsonNode body) {
     String query = x.getQueryString();
     String path = x.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
@@ -122,19 +150,28 @@
       return;
     }
     String addr = to.getAddress().getHostAddress() + ":" + to.getPort();
-    World.Reply back = (outcome, status, json) -> answer(x, status, json);
-    withBody(
-        x,
-        body ->
-            loop.post(
-                () -> {
-                  StandInWorker w = world.workers.get(addr);
-                  if (w != null && x.getRequestPath().equals("/status")) {
-                    w.status(back);
-                  } else if (w != null) {
-                    w.command(body, Long.MIN_VALUE, back);
-                  }
-                }));
+    withBody(x, body -> loop.post(() -> toWorker(x, addr, body)));
+  }
+
+  private void toWorker(HttpServerExchange x, String addr, JsonNode body) {
+    StandInWorker worker = world.workers.get(addr);
+    if (worker == null) {
+      return;
+    }
+    boolean question = x.getRequestPath().equals("/status");
+    // Who asks for the status does not say who it is; commands carry their sender's token.
+    String sender = question ? null : world.state.leaderUnder(body.path("baton").asLong());
+    String from = sender == null ? SOMEBODY : sender;
+    World.Reply back = back(x, addr, from);
+    log(from, addr, x.getRequestPath(), body);
+    Runnable deliver =
+        question ? () -> worker.status(back) : () -> worker.command(body, Long.MIN_VALUE, back);
+    if (question || world.lateCommandsMs() == 0) {
+      world.send(from, addr, deliver);
+    } else {
+      // Held up on its way: its sender has given up by the time it is carried out.
+      world.after(world.jitter(world.lateCommandsMs()), deliver);
+    }
   }
 
   private interface WithBody {
--- a/src/lab/java/org/snowturn/sim/StandInState.java
+++ b/src/lab/java/org/snowturn/sim/StandInState.java
@@ -31,6 +31,8 @@
     long until;
   }
 
+  private static final String LEADER = "l/leader";
+
   /** A watch from before so many changes has to begin anew. */
   private static final int CHANGES_KEPT = 10_000;
 
@@ -66,6 +68,9 @@
   private long epoch;
   private long nextLease = 1;
 
+  /** Who has led under which token. */
+  private final TreeMap<Long, String> leaders = new TreeMap<>();
+
   StandInState(World world) {
     this.world = world;
     this.limits = world.settings[0].stateLimits();
@@ -194,7 +199,20 @@
     }
   }
 
+  /** Who leads by the leader key; null if the key is not there. */
+  String leader() {
+    return kv.containsKey(LEADER) ? leaders.get(kv.get(LEADER).stamp) : null;
+  }
+
+  /** Who had the token, or null. */
+  String leaderUnder(long token) {
+    return leaders.get(token);
+  }
+
   private void change(String key, JsonNode json, long lease) {
+    if (key.equals(LEADER) && json != null) {
+      leaders.put(epoch, json.path("node").asText());
+    }
     if (json == null) {
       kv.remove(key);
     } else {
--- a/src/lab/java/org/snowturn/sim/StandInWorker.java
+++ b/src/lab/java/org/snowturn/sim/StandInWorker.java
@@ -119,16 +119,21 @@
     tasks.clear();
   }
 
-  private void watchLease() {
-    if (dead) {
-      return;
-    }
+  /** Ends the session if its lease has run out. */
+  private void endLapsed() {
     long lease = (long) (figures().leaseS() * 1000);
     if (world.now - leaseFrom > lease && !world.sabotage.contains("immortal_sessions")) {
       tasks.clear();
       session++;
       leaseFrom = world.now;
     }
+  }
+
+  private void watchLease() {
+    if (dead) {
+      return;
+    }
+    endLapsed();
     world.after(world.sizes.leaseCheckMs(), this::watchLease);
   }
 
--- a/src/lab/java/org/snowturn/sim/World.java
+++ b/src/lab/java/org/snowturn/sim/World.java
@@ -76,11 +76,14 @@
 
   private Links links = (from, to) -> 0;
 
+  /** Is told of every message that the stand-ins of a world in real time take or give. */
+  MessageLog messages = MessageLog.NONE;
+
   /** When the answer to a check-in that a worker is just taking in left its node. */
   long answerLeftAt;
 
   /** Direct messages to workers so far, and those of them without any command. */
-  int messages;
+  int directMessages;
 
   int questions;
 
@@ -180,6 +183,11 @@
     }
   }
 
+  /** How late direct commands arrive now. */
+  long lateCommandsMs() {
+    return lateCommandsMs;
+  }
+
   void delayCommands(long ms) {
     lateCommandsMs = ms;
   }
@@ -362,7 +370,7 @@
       }
     }
 
-    private void perform(Effect e) {
+    void perform(Effect e) {
       if (e instanceof Effect.Answer a) {
         Exchange x = exchanges.remove(a.exchange());
         if (x != null) {
@@ -444,7 +452,7 @@
           }
           return;
         }
-        messages++;
+        directMessages++;
         questions += c.body().path("orders").isEmpty() ? 1 : 0;
         if (w != null) {
           w.command(c.body(), leftAt, back);
--- a/src/test/java/org/snowturn/lab/LabCommandsTest.java
+++ b/src/test/java/org/snowturn/lab/LabCommandsTest.java
@@ -58,6 +58,45 @@
     assertTrue(Files.notExists(dir.resolve("out")));
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "--seeds a-b",
+        "--seeds 5-4",
+        "--seeds -3",
+        "--seeds 1-100000",
+        "--seeds 1 --workers -1",
+        "--seeds 1 --workers 2001",
+        "--seeds 1 --duration 0",
+        "--seeds 1 --nothing",
+        "--seeds 1 --plan there.txt",
+        "--plan not-there.txt"
+      })
+  void wrongSoaksAreRefusedAndStartNothing(String options) {
+    String all = ("soak --out " + dir.resolve("out") + " " + options).trim();
+    assertEquals(BAD_INPUT, run(all.split(" ")), errors.toString());
+    assertEquals(1, errors.toString().lines().count(), errors.toString());
+    assertTrue(Files.notExists(dir.resolve("out")));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "at 1.0 kill leader for 0.2",
+        "at x kill leader for 0.2 amount 0",
+        "at 1.0 explode leader for 0.2 amount 0",
+        "at 1.0 kill - for 0.2 amount 0",
+        "at 1.0 outage leader for 0.2 amount 0"
+      })
+  void aDamagedPlanIsNamedWithItsLine(String line) throws Exception {
+    Path file = dir.resolve("plan.txt");
+    Files.write(file, List.of("soak seed 1 workers 20 duration 5", "", line));
+    assertEquals(BAD_INPUT, run("soak", "--plan", file.toString()));
+    assertTrue(errors.toString().startsWith("soak: " + file + ":3: "), errors.toString());
+    assertEquals(1, errors.toString().lines().count(), errors.toString());
+  }
+
   @Test
   void aPlanBeyondHalfOfTheMemoryIsRefused() {
     ScalePlan large = ScaleRunTest.plan(11_000, 300_000, 3, 60, Failure.NONE);
--- /dev/null
+++ b/src/test/java/org/snowturn/lab/SoakPlanTest.java
@@ -0,0 +1,54 @@
+package org.snowturn.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.snowturn.lab.SoakFault.Kind;
+
+/** Plans of soak runs: drawn from a seed, written down, read again. */
+class SoakPlanTest {
+  private static final int DURATION_S = 30;
+
+  @TempDir private Path dir;
+
+  @Test
+  void oneSeedGivesOnePlanAndAWrittenPlanIsReadAsItWas() throws Exception {
+    for (long seed = 1; seed <= 50; seed++) {
+      SoakPlan plan = SoakPlan.draw(seed, 0, DURATION_S);
+      assertEquals(plan, SoakPlan.draw(seed, 0, DURATION_S));
+      Path file = Files.write(dir.resolve("plan-" + seed), plan.lines());
+      assertEquals(plan.lines(), SoakPlan.read(file).lines());
+    }
+    assertNotEquals(SoakPlan.draw(1, 0, DURATION_S), SoakPlan.draw(2, 0, DURATION_S));
+  }
+
+  @Test
+  void fiftySeedsHaveEveryKindOfFaultAndSomeLargeFleets() {
+    Set<Kind> kinds = EnumSet.noneOf(Kind.class);
+    LongStream.rangeClosed(1, 50)
+        .mapToObj(seed -> SoakPlan.draw(seed, 0, DURATION_S))
+        .forEach(plan -> plan.faults().forEach(f -> kinds.add(f.kind())));
+    assertEquals(EnumSet.allOf(Kind.class), kinds);
+    long large =
+        LongStream.rangeClosed(1, 50)
+            .filter(seed -> SoakPlan.draw(seed, 0, DURATION_S).workers() >= 200)
+            .count();
+    assertTrue(large > 2, "of 50 seeds only " + large + " have a few hundred workers");
+  }
+
+  @Test
+  void aPlanBeyondHalfOfTheMemoryIsRefused() {
+    SoakPlan plan = SoakPlan.draw(1, 2_000, DURATION_S);
+    String message = assertThrows(BadPlanException.class, () -> plan.check(3_000)).getMessage();
+    assertTrue(message.contains("more than half"), message);
+  }
+}
