Ledger and Election divided by concern; a busy refusal beside a live attempt releases nothing (precaution)

Reports waits while another attempt is listed as alive; it is told to stop. Measured: ElectionExplorerTest, ElectionFaultsTest, ScenarioTest, MeetingsTest, AimedMeetingsTest, RenewalTest (with a test that fails without the precaution: not run without it), WorkBoundTest, LayersTest, RecordsTest pass.

--- a/src/main/java/org/snowturn/core/act/Ledger.java
+++ b/src/main/java/org/snowturn/core/act/Ledger.java
@@ -6,10 +6,8 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.IntPredicate;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.evidence.EndEvidence;
@@ -17,7 +15,6 @@
 import org.snowturn.core.picture.Machine;
 import org.snowturn.core.picture.MachineBook;
 import org.snowturn.core.picture.Quota;
-import org.snowturn.core.picture.TaskRecords;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.LruMap;
 import org.snowturn.core.records.Slot;
@@ -30,7 +27,6 @@
 import org.snowturn.wire.MalformedException;
 import org.snowturn.wire.Priority;
 import org.snowturn.wire.StateMessage;
-import org.snowturn.wire.StateMessage.Change;
 import org.snowturn.wire.StateMessage.Condition;
 
 /**
@@ -61,6 +57,8 @@
   private final Cancellations cancellations;
   private final AttemptGuard guard;
   private final SubmissionParts parts;
+  private final JobFinisher finisher;
+  private final TaskRecordLoader loader;
   private final long token;
   private final Map<String, Job> jobs = new HashMap<>();
   private final List<Job> byIndex = new ArrayList<>();
@@ -96,6 +94,8 @@
     this.quota = quota;
     this.token = token;
     this.parts = new SubmissionParts(calls, writer);
+    this.finisher = new JobFinisher(calls, gate, writer, this);
+    this.loader = new TaskRecordLoader(calls, gate, writer, machines, this);
   }
 
   public void listen(Listener l) {
@@ -257,126 +257,27 @@
 
   /** Takes over a stored record of tasks: results, and tasks that an earlier leader bound. */
   public void loadChunk(Job j, int chunk, JsonNode value, long stamp) {
-    if (chunk < 0 || chunk >= j.chunks.length) {
-      return;
-    }
-    chunk(j, chunk).stamp = stamp;
-    load(j, value, j.layout.from(chunk), j.secondFormat, t -> true);
+    loader.loadChunk(j, chunk, value, stamp);
   }
 
-  /**
-   * Takes over a record of the first format after the gate has opened. It tells of the tasks that
-   * no record of the second format tells of: those are newer, since nobody writes the first any
-   * more.
-   */
+  /** The same of the first format, after the gate has opened. */
   public void loadOlderChunk(Job j, int chunk, JsonNode value, long stamp) {
-    Slot s = writer.slot(Keys.tasks(j.spec.id(), chunk), stamp, () -> null, () -> null);
-    j.olderChunks.add(s);
-    load(
-        j,
-        value,
-        chunk * gate.spans().first(),
-        false,
-        t -> {
-          Slot newer = j.chunks[j.layout.recordOf(t)];
-          return newer == null || newer.stamp == 0;
-        });
-  }
-
-  private void load(Job j, JsonNode value, int from, boolean secondFormat, IntPredicate tellsOf) {
-    TaskRecords.read(
-        value,
-        from,
-        new TaskRecords.Reader() {
-          /**
-           * Whether the machine is on no page of the roll. Those who write the second format enter
-           * a machine before its first placement, and strike it out only when all on it has ended
-           * for certain: what was placed there waits. Taken for bound, it would be missed for as
-           * long as a lease (zone cut, leader dies). The first version kept no roll, so its records
-           * say nothing of the kind.
-           */
-          private boolean struckOut(String machine) {
-            Machine m = machines.find(machine);
-            return secondFormat && (m == null || m.rollPage < 0);
-          }
-
-          private boolean isNews(int t) {
-            return t >= 0 && t < j.state.length && j.state[t] == Job.PENDING && tellsOf.test(t);
-          }
-
-          @Override
-          public void done(int t) {
-            if (isNews(t)) {
-              j.enter(t, Job.DONE);
-              j.pending--;
-              j.done++;
-            }
-          }
-
-          @Override
-          public void placed(int t, long attempt, String machine, long session) {
-            if (isNews(t) && !struckOut(machine)) {
-              Machine m = machines.getOrCreate(machine);
-              // An earlier leader may have answered it until now, whether or not it is on the roll.
-              m.lastAnswerAt = Math.max(m.lastAnswerAt, calls.now());
-              take(j, t, m, attempt, session);
-              j.enter(t, Job.STARTING);
-              j.inherited.set(t);
-              m.inherited++;
-              inherited++;
-              m.touchImage(j.spec.image(), j.spec.imageGb());
-            }
-          }
-        });
+    loader.loadOlderChunk(j, chunk, value, stamp);
   }
 
-  /**
-   * Goes on in the second format with the jobs whose records of the first are settled; tells
-   * whether some are left.
-   */
+  /** Goes on in the second format with the jobs that can; tells whether some are left. */
   public boolean useSecondFormat() {
-    boolean left = false;
-    for (Job j : jobs.values()) {
-      if (j.secondFormat) {
-        continue;
-      }
-      boolean unsettled = j.finishing;
-      for (Slot s : j.chunks) {
-        unsettled |= s != null && s.inFlight;
-      }
-      left |= unsettled;
-      if (!unsettled) {
-        useSecondFormat(j);
-      }
-    }
-    return left;
+    return loader.useSecondFormat();
   }
 
-  private void useSecondFormat(Job j) {
-    Slot[] older = j.chunks;
-    j.useSecondFormat(gate.spans(), gate.limits().valueBytes(), machines);
-    for (int c = 0; c < older.length; c++) {
-      if (older[c] == null || !older[c].dirty) {
-        continue;
-      }
-      // What waited for the old record waits for every piece of it now.
-      int urgency = older[c].urgency;
-      List<Runnable> actions = List.copyOf(older[c].onDurable);
-      writer.clear(older[c]);
-      int first = c * j.layout.pieces();
-      int end = Math.min(first + j.layout.pieces(), j.chunks.length);
-      int[] missing = {end - first};
-      for (int p = first; p < end; p++) {
-        writer.mark(
-            chunk(j, p),
-            urgency,
-            () -> {
-              if (--missing[0] == 0) {
-                actions.forEach(Runnable::run);
-              }
-            });
-      }
-    }
+  /** Binds a task that an earlier leader placed. */
+  void inherit(Job j, int t, Machine m, long attempt, long session) {
+    take(j, t, m, attempt, session);
+    j.enter(t, Job.STARTING);
+    j.inherited.set(t);
+    m.inherited++;
+    inherited++;
+    m.touchImage(j.spec.image(), j.spec.imageGb());
   }
 
   private void take(Job j, int t, Machine m, long attempt, long session) {
@@ -565,7 +466,7 @@
     if (guard.hasEnded(j, t, evidence)) {
       detach(j, t);
       changed = true;
-      finishIfOver(j);
+      finisher.finishIfOver(j);
     }
   }
 
@@ -625,10 +526,10 @@
           Writer.CAN_WAIT,
           () -> {
             j.resultPending.clear(t);
-            finishIfOver(j); // others may wait for it: not only at the next sweep
+            finisher.finishIfOver(j); // others may wait for it: not only at the next sweep
           });
     }
-    finishIfOver(j);
+    finisher.finishIfOver(j);
   }
 
   /** Whether a worker may forget this ended attempt. */
@@ -643,93 +544,9 @@
     return !j.resultPending.get(task);
   }
 
+  /** Tries again to finish the jobs that are over. */
   public void retryFinishing() {
-    for (Job j : List.copyOf(jobs.values())) {
-      finishIfOver(j);
-    }
-  }
-
-  /** Moves a job that is over to its short record, in one transaction that proves every result. */
-  public void finishIfOver(Job j) {
-    boolean done = !j.cancelled && j.done == j.state.length;
-    boolean aborted = j.cancelled && j.bound == 0;
-    if (j.finishing || !(done || aborted) || jobs.get(j.spec.id()) != j) {
-      return;
-    }
-    for (Slot s : j.chunks) {
-      if (s != null && s.inFlight) {
-        return; // retried when that write is settled
-      }
-    }
-    j.finishing = true;
-    String id = j.spec.id();
-    JobView.Phase phase = done ? JobView.Phase.DONE : JobView.Phase.ABORTED;
-    List<Change> apply = new ArrayList<>();
-    apply.add(Change.put(Keys.over(id), StoredJob.over(phase, j.spec)));
-    apply.add(Change.delete(Keys.job(id)));
-    if (j.restarts > 0) {
-      apply.add(Change.delete(Keys.restarts(id)));
-    }
-    List<Change> drops = new ArrayList<>();
-    StoredJob.partKeys(id, j.submission, j.parts).forEach(k -> drops.add(Change.delete(k)));
-    for (Slot s : j.chunks) {
-      if (s != null) {
-        writer.clear(s);
-        dropIfStored(s, drops);
-      }
-    }
-    j.olderChunks.forEach(s -> dropIfStored(s, drops));
-    // Where many jobs end together, what is only to be cleared away leaves the rate to others.
-    int most = writer.pressed() ? 0 : gate.limits().txnOps() - apply.size();
-    int now = Math.min(drops.size(), Math.max(0, most));
-    apply.addAll(drops.subList(0, now));
-    List<Change> later = drops.subList(now, drops.size());
-    // Others may wait for a result; an abortion has been told already.
-    writer.whole(
-        done ? Writer.Turn.NEXT : Writer.Turn.SPARE,
-        List.of(new Condition(Keys.job(id), j.stamp)),
-        apply,
-        (outcome, status, body) -> {
-          if (outcome == Outcome.ANSWERED && status == 200) {
-            calls.note(id + " " + phase.wire() + outcome(j));
-            remove(id);
-            writer.drop(List.of(), later);
-          } else {
-            refresh(
-                id,
-                () -> {
-                  j.finishing = false;
-                  if (jobs.get(id) != j) {
-                    // It was carried out, and only its answer was lost.
-                    writer.drop(List.of(), later);
-                  }
-                });
-          }
-        });
-  }
-
-  private static void dropIfStored(Slot s, List<Change> drops) {
-    if (s.stamp != 0) {
-      drops.add(Change.delete(s.key));
-    }
-  }
-
-  /** What an operator wants to know of a job that is over. */
-  private String outcome(Job j) {
-    double late = (calls.wall() - j.dueWall(1)) / 1000;
-    String due = late < -1e9 ? "no deadline" : String.format(Locale.ROOT, "%.1f s late", late);
-    return String.format(
-        Locale.ROOT,
-        ": %d tasks, estimate %.1f s, median %.1f s, last placed after %.1f s, done after %.1f s,"
-            + " released after %.1f s, %s, %d restarts",
-        j.state.length,
-        j.spec.estimateS(),
-        j.median(),
-        Math.max(0, j.placedWall - j.submittedWall) / 1000.0,
-        (calls.wall() - j.submittedWall) / 1000.0,
-        (j.releasedWall - j.submittedWall) / 1000.0,
-        due,
-        j.restarts);
+    List.copyOf(jobs.values()).forEach(finisher::finishIfOver);
   }
 
   /** Reads a job's record again after a write that did not go through as expected. */
--- a/src/main/java/org/snowturn/core/act/ReportCases.java
+++ b/src/main/java/org/snowturn/core/act/ReportCases.java
@@ -46,6 +46,21 @@
         : reported > placed ? Reconciliation.Session.LATER : Reconciliation.Session.EARLIER;
   }
 
+  /**
+   * Whether another attempt of the task is alive there. Then a refusal (busy) tells that this
+   * attempt never began, but not that the task runs nowhere: placed elsewhere it would run twice.
+   */
+  static boolean otherAttemptAlive(Report r, TaskReport refused) {
+    for (TaskReport t : r.tasks()) {
+      if (t.state() != TaskReport.State.ENDED
+          && t.task() == refused.task()
+          && t.job().equals(refused.job())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** What a report that does not list a task offers as proof of its attempt's end. */
   static EndEvidence notListed(Report r, Job j, int t, boolean checkIn) {
     return r.session() > j.session[t]
--- a/src/main/java/org/snowturn/core/act/Reports.java
+++ b/src/main/java/org/snowturn/core/act/Reports.java
@@ -242,7 +242,9 @@
         m.touchImage(j.spec.image(), j.spec.imageGb());
       }
       case ENDED -> {
-        if (v == Verdict.COMPLETE || v == Verdict.RELEASE) {
+        if (r.why() == TaskReport.Why.BUSY && ReportCases.otherAttemptAlive(report, r)) {
+          calls.note(j.spec.id() + "/" + t + " refused on " + m.id + ", where it runs already");
+        } else if (v == Verdict.COMPLETE || v == Verdict.RELEASE) {
           ended(m, j, t, r.why(), new ReportedEnded(report.token(), report.session()));
         }
       }
--- a/src/main/java/org/snowturn/core/authority/Election.java
+++ b/src/main/java/org/snowturn/core/authority/Election.java
@@ -1,11 +1,8 @@
 package org.snowturn.core.authority;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.snowturn.config.Settings;
@@ -51,22 +48,6 @@
   /** A tick that comes so late means that replies have been waiting here, not there. */
   private static final long LATE_TICK_MS = 500;
 
-  private static final long PROBE_MS = 700;
-
-  /**
-   * While the leader has trouble with the state service, peers look more often, and what they saw
-   * counts for less long: a leader that resigns in an outage that has just begun leaves nobody.
-   */
-  private static final long PROBE_TROUBLED_MS = 250;
-
-  private static final long OK_TROUBLED_MS = 500;
-
-  /** For so long; a state service that answers slowly would seem to be out for ever. */
-  private static final long TROUBLED_MS = 5_000;
-
-  /** Without a good reply for this long, this node counts as having lost the state service. */
-  private static final long STATE_LOST_MS = 2200;
-
   /**
    * A leader whose renewals fail for this long gives up if a peer is served: before its lease ends.
    */
@@ -75,7 +56,6 @@
   /** For so long a peer that reaches the state service may take to end an offered lease. */
   private static final long OFFERED_MS = 700;
 
-  private static final long PEER_NEWS_MS = 1500;
   private static final long HOLD_OFF_MS = 15_000;
 
   /** A process that has just begun leaves the claim to peers that are up for so long. */
@@ -126,19 +106,13 @@
   private long promisedUntil = Job.UNKNOWN;
   private boolean claimInDoubt;
   private long knownToken;
-  private final Map<String, Long> promises = new HashMap<>();
-  private final Map<Long, Long> asks = new LinkedHashMap<>();
-  private long askSeq;
+  private final PeerPromises promises;
   private long tellAt;
   private long renewFailingSince = Job.UNKNOWN;
   private long offeredAt = Job.UNKNOWN;
   private boolean leaseOffered;
 
-  private long troubledSince = Job.UNKNOWN;
-  private long probeAt;
-  private boolean probing;
-  private long stateOkAt = Job.UNKNOWN;
-  private final Map<String, Long> peerStateOkAt = new HashMap<>();
+  private final StateServiceHealth service;
 
   /**
    * Stands for nothing yet.
@@ -158,6 +132,8 @@
     this.backoff = calls.backoff(RETRY_LEAST_MS, RETRY_MOST_MS);
     this.settings = settings;
     this.calls = calls;
+    this.promises = new PeerPromises(settings.peers());
+    this.service = new StateServiceHealth(calls);
     this.incarnation = incarnation;
     this.ttlMs = ttlMs(settings, tunables);
   }
@@ -177,7 +153,7 @@
 
   /** When the last request that the state service answered was sent; {@link Job#UNKNOWN}: never. */
   public long stateOkAt() {
-    return stateOkAt;
+    return service.answeredAt();
   }
 
   public boolean leading() {
@@ -190,35 +166,18 @@
    */
   public boolean hasAuthority() {
     return role == Role.LEADING
-        && (calls.now() < authorityUntil || promisedByAll())
+        && (calls.now() < authorityUntil || promises.holdOfAll(calls.now()))
         && watermark.current();
   }
 
-  private boolean promisedByAll() {
-    if (settings.peers().isEmpty()) {
-      return false;
-    }
-    for (Settings.Peer p : settings.peers()) {
-      if (promises.getOrDefault(p.node(), Job.UNKNOWN) <= calls.now()) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   /** Whether the state service has answered this node lately. */
   public boolean stateHealthy() {
-    return calls.now() - STATE_LOST_MS < stateOkAt;
+    return service.healthy();
   }
 
   /** Whether a peer has said lately that the state service answers it. */
   public boolean peersReachState() {
-    for (long at : peerStateOkAt.values()) {
-      if (calls.now() - PEER_NEWS_MS < at) {
-        return true;
-      }
-    }
-    return false;
+    return service.answersPeers();
   }
 
   public long token() {
@@ -243,7 +202,7 @@
     long quietUntil = startedAt + PROMISE_MS + 200;
     quiet = quiet && now < quietUntil && notLeading.size() < settings.peers().size();
     logAuthority();
-    probe();
+    service.probe(role == Role.LEADING);
     tell();
     watermark.tick(role == Role.LEADING);
     if (role == Role.LEADING) {
@@ -298,7 +257,9 @@
     if (role != Role.LEADING || !watermark.current()) {
       return "none";
     }
-    return calls.now() < authorityUntil ? "lease" : promisedByAll() ? "promises" : "none";
+    return calls.now() < authorityUntil
+        ? "lease"
+        : promises.holdOfAll(calls.now()) ? "promises" : "none";
   }
 
   private void noteHorizon() {
@@ -313,38 +274,6 @@
     }
   }
 
-  /** One cheap read at a time tells whether the state service answers this node. */
-  private void probe() {
-    if (probing || calls.now() < probeAt) {
-      return;
-    }
-    probing = true;
-    long sentAt = calls.now();
-    probeAt = sentAt + (troubled() ? PROBE_TROUBLED_MS : PROBE_MS);
-    calls.authority(
-        "GET",
-        "/kv/" + Keys.LEADER,
-        null,
-        1000,
-        (outcome, status, body) -> {
-          probing = false;
-          if (outcome == Outcome.ANSWERED && (status == 200 || status == 404)) {
-            stateOkAt = Math.max(stateOkAt, sentAt);
-          }
-        });
-  }
-
-  private boolean stateOkNow() {
-    return calls.now() - (troubled() ? OK_TROUBLED_MS : 2 * PROBE_MS) < stateOkAt;
-  }
-
-  /** Whether the leader has begun to say that the state service does not answer it. */
-  private boolean troubled() {
-    return role != Role.LEADING
-        && troubledSince != Job.UNKNOWN
-        && calls.now() - troubledSince < TROUBLED_MS;
-  }
-
   private void tell() {
     long now = calls.now();
     if (now < tellAt) {
@@ -353,22 +282,20 @@
     boolean isNew = now < startedAt + PROMISE_MS + 200 && role != Role.LEADING;
     tellAt = now + (isNew ? TELL_NEW_MS : TELL_MS);
     if (role != Role.LEADING) {
-      calls.toPeers(new PeerRecord.Status(settings.node(), stateOkNow()));
+      calls.toPeers(
+          new PeerRecord.Status(settings.node(), service.answersNow(role == Role.LEADING)));
       return;
     }
-    asks.put(++askSeq, now);
-    if (asks.size() > 50) {
-      asks.remove(asks.keySet().iterator().next());
-    }
     calls.toPeers(
-        new PeerRecord.Ask(settings.node(), askSeq, token, renewFailingSince != Job.UNKNOWN));
+        new PeerRecord.Ask(
+            settings.node(), promises.request(now), token, renewFailingSince != Job.UNKNOWN));
   }
 
   /** Takes a peer's record. */
   public void fromPeer(PeerRecord r) {
     if (r instanceof PeerRecord.Status s) {
       notLeading.add(s.from());
-      heardOfState(s.from(), s.stateOk());
+      service.heard(s.from(), s.stateOk());
     } else if (r instanceof PeerRecord.Ask a) {
       asked(a);
     } else if (r instanceof PeerRecord.Promise p) {
@@ -382,26 +309,13 @@
     }
   }
 
-  private void heardOfState(String node, boolean ok) {
-    if (ok) {
-      peerStateOkAt.put(node, calls.now());
-    } else {
-      peerStateOkAt.remove(node);
-    }
-  }
-
   /**
    * Promises nothing that it may not keep: not while a claim of its own may be executed, nor after
    * it has seen the leader's key vanish or a later leader's key.
    */
   private void asked(PeerRecord.Ask a) {
-    heardOfState(a.from(), !a.trouble());
-    if (!a.trouble()) {
-      troubledSince = Job.UNKNOWN;
-    } else if (troubledSince == Job.UNKNOWN) {
-      troubledSince = calls.now();
-      probeAt = Math.min(probeAt, calls.now());
-    }
+    service.heard(a.from(), !a.trouble());
+    service.leaderInTrouble(a.trouble());
     if (role != Role.LEADING && a.token() >= knownToken) {
       knownLeader = a.from(); // only for workers to be sent there: a hint
     }
@@ -413,18 +327,19 @@
     knownToken = a.token();
     promisedUntil = Math.max(promisedUntil, calls.now() + PROMISE_MS);
     calls.toPeers(
-        new PeerRecord.Promise(settings.node(), a.seq(), a.token(), PROMISE_MS, stateOkNow()));
+        new PeerRecord.Promise(
+            settings.node(),
+            a.seq(),
+            a.token(),
+            PROMISE_MS,
+            service.answersNow(role == Role.LEADING)));
   }
 
   private void promised(PeerRecord.Promise p) {
-    heardOfState(p.from(), p.stateOk());
-    Long sentAt = asks.get(p.seq());
-    if (role != Role.LEADING || p.token() != token || sentAt == null) {
+    service.heard(p.from(), p.stateOk());
+    if (role != Role.LEADING || p.token() != token || !promises.take(p)) {
       return;
     }
-    // Counted from when the request was sent: the peer counts from when it arrived.
-    long until = sentAt + (long) (p.durationMs() * (1 - DRIFT)) - 20;
-    promises.merge(p.from(), until, Math::max);
     // A node that is behind with its work has not heard replies that were there.
     boolean behind = calls.now() - RESIGN_MS < lateAt;
     boolean lost =
@@ -649,7 +564,6 @@
     extend(leaseSentAt);
     leaseOffered = false;
     promises.clear();
-    asks.clear();
     knownToken = Math.max(knownToken, token);
     renewFailingSince = Job.UNKNOWN;
     tellAt = calls.now();
@@ -681,7 +595,7 @@
             resign("its lease was offered to peers while the state service did not answer");
           } else if (outcome == Outcome.ANSWERED && status == 200) {
             extend(sentAt);
-            stateOkAt = Math.max(stateOkAt, sentAt);
+            service.answered(sentAt);
             renewFailingSince = Job.UNKNOWN;
             renewAt = sentAt + ttlMs / 5;
           } else if (outcome == Outcome.ANSWERED && status == 404) {
--- a/src/test/java/org/snowturn/core/act/RenewalTest.java
+++ b/src/test/java/org/snowturn/core/act/RenewalTest.java
@@ -244,6 +244,20 @@
     assertTrue(o.renews() && stops(o, JOB), o.toString());
   }
 
+  /** A refusal ends its own attempt; the task may wait again only once no other lives there. */
+  @Test
+  void aBusyRefusalBesideALiveAttemptReleasesNothing() throws Exception {
+    Job j = started();
+    long attempt = j.attempt[0];
+    TaskReport refused = new TaskReport(JOB, 0, attempt, State.ENDED, TaskReport.Why.BUSY);
+    TaskReport other = at(JOB, attempt - 1, State.RUNNING);
+    Orders.Answer o = answer(report(2, List.of(refused, other)));
+    assertTrue(j.isBound(0));
+    assertTrue(stops(o, JOB), "the other one is stopped: " + o);
+    answer(report(3, List.of(refused, at(JOB, attempt - 1, State.ENDED))));
+    assertFalse(j.isBound(0));
+  }
+
   @Test
   void otherTasksOfTheMachineGoOnAsBefore() throws Exception {
     Job j = started();
