--- a/src/lab/java/org/snowturn/lab/Soak.java
+++ b/src/lab/java/org/snowturn/lab/Soak.java
@@ -46,6 +46,9 @@
       description = "Folder for plans, logs and messages. Default: ${DEFAULT-VALUE}.")
   private Path out = Path.of("target", "soak");
 
+  @Option(names = "--keep", description = "Keeps logs and messages of runs that pass as well.")
+  private boolean keep;
+
   @Override
   public Integer call() throws IOException, InterruptedException {
     try {
@@ -98,7 +101,8 @@
       Files.createDirectories(dir);
       System.out.println("seed " + plan.seed() + ", plan " + dir.resolve("plan.txt"));
       SoakVerdict verdict =
-          new SoakRun(plan, command, root, dir, line -> System.err.println("  " + line)).play();
+          new SoakRun(plan, command, root, dir, keep, line -> System.err.println("  " + line))
+              .play();
       results[verdict.result().ordinal()]++;
       System.out.println(verdict.line());
       verdict.details().forEach(d -> System.out.println("  " + d));
--- a/src/lab/java/org/snowturn/lab/SoakRun.java
+++ b/src/lab/java/org/snowturn/lab/SoakRun.java
@@ -38,13 +38,28 @@
   private final List<String> command;
   private final Path root;
   private final Path dir;
+  private final boolean keep;
   private final Consumer<String> progress;
 
-  SoakRun(SoakPlan plan, List<String> command, Path root, Path dir, Consumer<String> progress) {
+  /**
+   * Plays nothing yet.
+   *
+   * @param command how a controller is started; its settings file is added
+   * @param dir for the plan, logs and messages
+   * @param keep whether logs and messages of a run that passes are kept as well
+   */
+  SoakRun(
+      SoakPlan plan,
+      List<String> command,
+      Path root,
+      Path dir,
+      boolean keep,
+      Consumer<String> progress) {
     this.plan = plan;
     this.command = command;
     this.root = root;
     this.dir = dir;
+    this.keep = keep;
     this.progress = progress;
   }
 
@@ -58,17 +73,21 @@
       deployment.parts().get(0).region.keepMessages(messages);
       verdict = play(deployment);
     }
-    if (verdict.result() == Result.PASSED) {
-      Files.delete(dir.resolve(MESSAGES));
-      for (String node : plan.region().controllers()) {
-        Files.deleteIfExists(dir.resolve(node + ".log"));
-      }
-    } else {
+    if (verdict.result() != Result.PASSED) {
       Files.write(dir.resolve("verdict.txt"), verdict.details());
+    } else if (!keep) {
+      removeLogs();
     }
     return verdict;
   }
 
+  private void removeLogs() throws IOException {
+    Files.delete(dir.resolve(MESSAGES));
+    for (String node : plan.region().controllers()) {
+      Files.deleteIfExists(dir.resolve(node + ".log"));
+    }
+  }
+
   private SoakVerdict play(Deployment deployment)
       throws IOException, InterruptedException, BadPlanException {
     Part part = deployment.parts().get(0);
--- a/src/main/java/org/snowturn/core/calls/Calls.java
+++ b/src/main/java/org/snowturn/core/calls/Calls.java
@@ -51,7 +51,7 @@
   private long timerOrder;
   private long retryAfterMs;
   private List<Effect> effects = new ArrayList<>();
-  private final EventLog events = new EventLog(e -> effects.add(e));
+  private final EventLog events = new EventLog(e -> effects.add(e), this::wall);
   private long nextId = 1;
   private long now;
   private long wall;
--- a/src/main/java/org/snowturn/core/calls/EventLog.java
+++ b/src/main/java/org/snowturn/core/calls/EventLog.java
@@ -1,20 +1,23 @@
 package org.snowturn.core.calls;
 
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.snowturn.core.Effect;
 import org.snowturn.core.Effect.Severity;
 
 /**
- * Structured lines of the log: {@code event=NAME} and then {@code key=value} fields, whose names
- * stay the same. Lines for single tasks and messages are made only where debugging is on, and cost
- * nothing otherwise.
+ * Structured lines of the log: {@code event=NAME}, the time of day in milliseconds, and then {@code
+ * key=value} fields, whose names stay the same. Lines for single tasks and messages are made only
+ * where debugging is on, and cost nothing otherwise.
  */
 public final class EventLog {
   private final Consumer<Effect> out;
+  private final LongSupplier wallMs;
   private boolean debug;
 
-  EventLog(Consumer<Effect> out) {
+  EventLog(Consumer<Effect> out, LongSupplier wallMs) {
     this.out = out;
+    this.wallMs = wallMs;
   }
 
   /** Whether lines for single tasks and messages are written from now on. */
@@ -50,6 +53,7 @@
     private Line(Severity severity, String event) {
       this.severity = severity;
       this.text = new StringBuilder("event=").append(event);
+      with("at_ms", wallMs.getAsLong());
     }
 
     /** Adds a field; a text with spaces is put in quotes. */
--- a/src/test/java/org/snowturn/lab/SoakRunTest.java
+++ b/src/test/java/org/snowturn/lab/SoakRunTest.java
@@ -35,7 +35,7 @@
   }
 
   private SoakRun run(SoakPlan plan, String mainClass) {
-    return new SoakRun(plan, command(mainClass), dir, dir, line -> {});
+    return new SoakRun(plan, command(mainClass), dir, dir, false, line -> {});
   }
 
   @ParameterizedTest
@@ -51,6 +51,13 @@
     assertFalse(Files.exists(dir.resolve("messages.log")), "kept though the run passed");
   }
 
+  /** The plan of docs/incidents/ran-twice-at-size.md: without its fix invariants are violated. */
+  @Test
+  void startsThatWaitBehindLateCommandsDoNotOutliveTheirAttempts() throws Exception {
+    SoakPlan plan = SoakPlan.read(Path.of("src/test/resources/soak/queued-start.txt"));
+    assertEquals(List.of(), run(plan, "org.snowturn.daemon.Main").play().details());
+  }
+
   @Test
   void aControllerThatDoesNotStartIsNamedAndNothingIsLeftRunning() {
     SoakRun run = run(SoakPlan.draw(1, WORKERS, DURATION_S), "org.snowturn.daemon.NoSuchMain");
