--- a/src/main/java/org/snowturn/core/act/Ledger.java
+++ b/src/main/java/org/snowturn/core/act/Ledger.java
@@ -270,6 +270,11 @@
     return loader.useSecondFormat();
   }
 
+  /** Some page of the registry could not be read: which machines are on none is not known. */
+  public void registryIncomplete() {
+    loader.registryIncomplete();
+  }
+
   /** Binds a task that an earlier leader placed. */
   void inherit(Job j, int t, Machine m, long attempt, long session) {
     take(j, t, m, attempt, session);
--- a/src/main/java/org/snowturn/core/act/MachineRegistry.java
+++ b/src/main/java/org/snowturn/core/act/MachineRegistry.java
@@ -212,10 +212,17 @@
     page(number).machines.add(m);
   }
 
-  /** Takes over a stored page; {@code each} is told of every machine on it. */
+  /**
+   * Takes over a stored page; {@code each} is told of every machine on it.
+   *
+   * @throws IllegalArgumentException if it cannot be read; some of it may have been told by then
+   */
   public void load(StateMessage.Entry e, Consumer<Machine> each) {
     int number = Integer.parseInt(e.key().substring(Keys.REGISTRY.length()));
     page(number).slot.stamp = e.stamp();
+    if (!e.value().path("m").isArray()) {
+      throw new IllegalArgumentException("no list of machines");
+    }
     boolean second = e.value().path("v").asInt(Keys.VERSION) >= Keys.SECOND;
     for (JsonNode v : e.value().path("m")) {
       Machine m = machines.getOrCreate(v.path(0).asText());
--- a/src/main/java/org/snowturn/core/act/TaskRecordLoader.java
+++ b/src/main/java/org/snowturn/core/act/TaskRecordLoader.java
@@ -22,6 +22,7 @@
   private final Writer writer;
   private final MachineBook machines;
   private final Ledger ledger;
+  private boolean registryComplete = true;
 
   TaskRecordLoader(
       Calls calls, FormatGate gate, Writer writer, MachineBook machines, Ledger ledger) {
@@ -32,6 +33,11 @@
     this.ledger = ledger;
   }
 
+  /** From now on, that a machine is on no page proves nothing. */
+  void registryIncomplete() {
+    registryComplete = false;
+  }
+
   /** Takes over a stored record of tasks: results, and tasks that an earlier leader bound. */
   void loadChunk(Job j, int chunk, JsonNode value, long stamp) {
     if (chunk < 0 || chunk >= j.chunks.length) {
@@ -74,7 +80,7 @@
            */
           private boolean struckOut(String machine) {
             Machine m = machines.find(machine);
-            return secondFormat && (m == null || m.registryPage < 0);
+            return secondFormat && registryComplete && (m == null || m.registryPage < 0);
           }
 
           private boolean isNews(int t) {
--- a/src/main/java/org/snowturn/core/term/TermRecovery.java
+++ b/src/main/java/org/snowturn/core/term/TermRecovery.java
@@ -208,9 +208,11 @@
   }
 
   private void taken() {
-    read.get(Keys.REGISTRY)
-        .entries()
-        .forEach(e -> readable(e, () -> registry.load(e, this::recorded)));
+    for (StateMessage.Entry e : read.get(Keys.REGISTRY).entries()) {
+      if (!readable(e, () -> registry.load(e, this::recorded))) {
+        ledger.registryIncomplete();
+      }
+    }
     watchFrom = read.get(Keys.JOBS).epoch();
     Set<String> quarantined = new HashSet<>();
     loadJobs(quarantined);
