--- a/src/test/java/org/snowturn/lab/LabCommandsTest.java
+++ b/src/test/java/org/snowturn/lab/LabCommandsTest.java
@@ -52,8 +52,12 @@
         "--workers ten"
       })
   void wrongPlansAreRefusedAndStartNothing(String options) {
-    String all = "scale --out " + dir.resolve("out") + " " + options;
-    assertEquals(BAD_INPUT, run(all.split(" ")), errors.toString());
+    refusedInOneLine("scale", options);
+  }
+
+  private void refusedInOneLine(String command, String options) {
+    String all = command + " --out " + dir.resolve("out") + " " + options;
+    assertEquals(BAD_INPUT, run(all.trim().split(" ")), errors.toString());
     assertEquals(1, errors.toString().lines().count(), errors.toString());
     assertTrue(Files.notExists(dir.resolve("out")));
   }
@@ -74,10 +78,7 @@
         "--plan not-there.txt"
       })
   void wrongSoaksAreRefusedAndStartNothing(String options) {
-    String all = ("soak --out " + dir.resolve("out") + " " + options).trim();
-    assertEquals(BAD_INPUT, run(all.split(" ")), errors.toString());
-    assertEquals(1, errors.toString().lines().count(), errors.toString());
-    assertTrue(Files.notExists(dir.resolve("out")));
+    refusedInOneLine("soak", options);
   }
 
   @ParameterizedTest
