A repeated start is made only where one is due

Cause: reading the change: a command was made for each bound task that a check-in does not list. Change: Orders.repeatStart. Same decisions.

--- a/src/main/java/org/snowturn/core/act/Orders.java
+++ b/src/main/java/org/snowturn/core/act/Orders.java
@@ -105,18 +105,25 @@
       return !ReportCases.inDoubt(m, j.attempt[t], t)
           || cancellations.lapsesInTime(j.cancelledAfter);
     }
-    Command start = ledger.start(j, t);
-    if (v == Verdict.START && ledger.mayStart(m, start)) {
-      // Repeated until listed: a start does nothing where the attempt is known already.
-      repeatedStarts++;
-      out.add(start);
-      if (j.stopping.get(t)) {
-        out.add(ledger.stopCommand(j, t));
-      }
+    if (v == Verdict.START) {
+      repeatStart(m, j, t, out);
     }
     return true;
   }
 
+  /** Repeated until listed: a start does nothing where the attempt is known already. */
+  private void repeatStart(Machine m, Job j, int t, List<Command> out) {
+    Command start = ledger.start(j, t);
+    if (!ledger.mayStart(m, start)) {
+      return;
+    }
+    repeatedStarts++;
+    out.add(start);
+    if (j.stopping.get(t)) {
+      out.add(ledger.stopCommand(j, t));
+    }
+  }
+
   /**
    * What of a report may be stopped before anything else is known: tasks of cancelled jobs. Their
    * machine's lease is renewed by the very answer.
