--- a/src/lab/java/org/snowturn/lab/ControllerProcess.java
+++ b/src/lab/java/org/snowturn/lab/ControllerProcess.java
@@ -1,6 +1,7 @@
 package org.snowturn.lab;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -9,11 +10,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** One real controller: its settings file, its process and what the process has used. */
 final class ControllerProcess {
   private static final int KILL_WAIT_S = 5;
+  private static final int FIRST_PORT = 10_000;
+  private static final int END_PORT = 32_000;
+  private static final int MOST_TRIES = 100;
+
+  /** Ports that this process has given to controllers. */
+  private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
 
   final String name;
   final String zone;
@@ -35,10 +45,23 @@
     this.log = dir.resolve(name + ".log");
   }
 
+  /**
+   * An address that nobody listens on, below the ports that the system gives to connections: one of
+   * those may be taken before the controller listens, or while it is ended and not started again.
+   */
   private static InetSocketAddress free() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), s.getLocalPort());
+    for (int tries = 0; tries < MOST_TRIES; tries++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_PORT);
+      if (!GIVEN.add(port)) {
+        continue;
+      }
+      try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), s.getLocalPort());
+      } catch (BindException e) {
+        continue; // somebody has it
+      }
     }
+    throw new BindException("no free port from " + FIRST_PORT + " to " + END_PORT);
   }
 
   void configure(String toml) throws IOException {
