--- a/src/lab/java/org/snowturn/sim/Chaos.java
+++ b/src/lab/java/org/snowturn/sim/Chaos.java
@@ -21,7 +21,7 @@
     end = endMs;
     world.after(
         2000,
-        () -> new RandomJobs(world, List.of("t", "u"), LEAST_PAUSE_MS, MORE_PAUSE_MS).until(endMs));
+        () -> new RandomJobs(world, List.of("u", "t"), LEAST_PAUSE_MS, MORE_PAUSE_MS).until(endMs));
     world.after(8000, this::fault);
     world.after(endMs, this::heal);
   }
--- a/src/main/java/org/snowturn/core/act/Invariants.java
+++ b/src/main/java/org/snowturn/core/act/Invariants.java
@@ -10,9 +10,9 @@
  * What must hold whatever comes in. A violation is a fault of this program: what would break the
  * invariant is not done, the evidence is logged once, and it is counted. It never ends the process.
  */
-public final class Invariants {
+final class Invariants {
   /** The invariants, under names that stay the same in logs and metrics. */
-  public enum Invariant {
+  enum Invariant {
     /** A task waits again only when its attempt has ended for certain. */
     END_IS_PROVEN,
     /** A start leaves only for an attempt that is placed on that machine in that session. */
@@ -25,7 +25,7 @@
   private final Map<Invariant, Long> violations = new EnumMap<>(Invariant.class);
   private final Map<String, Boolean> logged = new LruMap<>(REMEMBERED);
 
-  public Invariants(Calls calls) {
+  Invariants(Calls calls) {
     this.calls = calls;
   }
 
@@ -49,7 +49,7 @@
   }
 
   /** How often each was violated. */
-  public Map<String, Double> gauges() {
+  Map<String, Double> gauges() {
     Map<String, Double> gauges = new HashMap<>();
     for (Invariant i : Invariant.values()) {
       String name = "snowturn.invariants.violated." + i.name().toLowerCase(java.util.Locale.ROOT);
