--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -9,13 +9,13 @@
 import org.snowturn.core.authority.CancellationWatermark;
 import org.snowturn.core.authority.Election;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Catalog;
+import org.snowturn.core.model.Catalog;
 import org.snowturn.core.reach.ConnectivityMonitor;
 import org.snowturn.core.reach.Relays;
 import org.snowturn.core.store.FormatGate;
 import org.snowturn.core.term.Leader;
 import org.snowturn.core.users.JobApi;
-import org.snowturn.core.users.LivePicture;
+import org.snowturn.core.users.LiveJobCache;
 import org.snowturn.wire.Command;
 
 /**
@@ -36,7 +36,7 @@
   private final ConnectivityMonitor surroundings;
   private final Relays relays;
   private final Admission admission;
-  private final LivePicture picture;
+  private final LiveJobCache liveJobs;
   private final CancellationWatermark watermark;
   private Leader leader;
   private long authorityAt;
@@ -61,7 +61,7 @@
     calls.keep(admission.budget());
     watermark = new CancellationWatermark(settings, calls, incarnation);
     watermark.listen(this::cancelled);
-    picture = new LivePicture(settings, calls, proofs());
+    liveJobs = new LiveJobCache(settings, calls, proofs());
     catalog = new Catalog(calls);
     election = new Election(settings, tunables, calls, watermark, incarnation, startedMs);
     gate = new FormatGate(settings, calls);
@@ -76,7 +76,7 @@
             gate,
             relays,
             admission.gate(),
-            picture,
+            liveJobs,
             election::stateHealthy,
             cancelledJobs());
   }
@@ -100,9 +100,9 @@
     };
   }
 
-  /** What the picture of the live jobs proves, the watermark of cancellations rests on. */
-  private LivePicture.Listener proofs() {
-    return new LivePicture.Listener() {
+  /** What the cache of live jobs proves, the watermark of cancellations rests on. */
+  private LiveJobCache.Listener proofs() {
+    return new LiveJobCache.Listener() {
       @Override
       public void cancelled(String job) {
         watermark.learn(job);
@@ -177,10 +177,10 @@
     g.putAll(surroundings.gauges());
     g.putAll(watermark.gauges());
     g.putAll(admission.gauges(calls.now()));
-    g.put("snowturn.picture.jobs", (double) picture.size());
-    g.put("snowturn.picture.proofs", (double) picture.proofs());
-    g.put("snowturn.picture.loads", (double) picture.loads());
-    g.put("snowturn.picture.waiting", (double) picture.waiting());
+    g.put("snowturn.picture.jobs", (double) liveJobs.size());
+    g.put("snowturn.picture.proofs", (double) liveJobs.proofs());
+    g.put("snowturn.picture.loads", (double) liveJobs.loads());
+    g.put("snowturn.picture.waiting", (double) liveJobs.waiting());
     if (leader != null) {
       g.putAll(leader.gauges());
     }
@@ -192,7 +192,7 @@
     catalog.tick();
     election.tick();
     gate.tick();
-    picture.tick();
+    liveJobs.tick();
     admit();
     follow();
     authorityAt = election.hasAuthority() ? calls.now() : authorityAt;
@@ -218,7 +218,7 @@
       leader = null;
     }
     if (leader == null && election.leading()) {
-      picture.refresh(); // workers are answered as far as cancellations are known
+      liveJobs.refresh(); // workers are answered as far as cancellations are known
       leader =
           new Leader(
               calls,
--- a/src/main/java/org/snowturn/core/act/AttemptGuard.java
+++ b/src/main/java/org/snowturn/core/act/AttemptGuard.java
@@ -7,9 +7,9 @@
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.evidence.AttemptView;
 import org.snowturn.core.evidence.EndEvidence;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.MachineBook;
 import org.snowturn.wire.CloudMachine;
 import org.snowturn.wire.Command;
 
--- a/src/main/java/org/snowturn/core/act/CommandLog.java
+++ b/src/main/java/org/snowturn/core/act/CommandLog.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Machine;
+import org.snowturn.core.model.Machine;
 import org.snowturn.wire.Command;
 
 /** Lines of the log about commands that leave for machines, one for each command. */
--- a/src/main/java/org/snowturn/core/act/Failures.java
+++ b/src/main/java/org/snowturn/core/act/Failures.java
@@ -3,8 +3,8 @@
 import java.util.Map;
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.evidence.FailureAttribution;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
 import org.snowturn.wire.JobView;
 
 /**
--- a/src/main/java/org/snowturn/core/act/JobFinisher.java
+++ b/src/main/java/org/snowturn/core/act/JobFinisher.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.Slot;
 import org.snowturn.core.records.StoredJob;
--- a/src/main/java/org/snowturn/core/act/JobGraph.java
+++ b/src/main/java/org/snowturn/core/act/JobGraph.java
@@ -13,7 +13,7 @@
 import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.LruMap;
 import org.snowturn.core.store.FormatGate;
--- a/src/main/java/org/snowturn/core/act/Ledger.java
+++ b/src/main/java/org/snowturn/core/act/Ledger.java
@@ -11,10 +11,10 @@
 import org.snowturn.core.Outcome;
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.evidence.EndEvidence;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.MachineBook;
-import org.snowturn.core.picture.Quota;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.MachineBook;
+import org.snowturn.core.model.Quota;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.LruMap;
 import org.snowturn.core.records.Slot;
@@ -67,7 +67,7 @@
   private final Map<String, Boolean> ended = new LruMap<>(REMEMBERED);
 
   /** Jobs of which a record cannot be read: they are left as they are. */
-  private final Set<String> aside = new HashSet<>();
+  private final Set<String> quarantined = new HashSet<>();
 
   private long attempts;
   private long placements;
@@ -138,11 +138,11 @@
     if (ended.containsKey(id)) {
       return; // else it would be ended once more, at the cost of changes that fail
     }
-    if (aside.contains(id)) {
+    if (quarantined.contains(id)) {
       if (stored.phase() != JobView.Phase.ABORTED) {
         return;
       }
-      aside.remove(id); // cancelled: whatever runs of it may be stopped
+      quarantined.remove(id); // cancelled: whatever runs of it may be stopped
     }
     Job j = jobs.get(id);
     if (j == null && stored.incomplete()) {
@@ -184,7 +184,7 @@
   private void cancel(Job j) {
     j.cancelled = true;
     calls.note(j.spec.id() + " cancelled, " + j.bound + " tasks to stop");
-    if (!j.cancelTold) {
+    if (!j.cancelConfirmed) {
       j.cancelledAfter = cancellations.knownUntil();
       stopAll(j);
     }
@@ -195,10 +195,10 @@
    * A user was told that the job is cancelled; that is durable, but may not have been read here
    * yet. What runs of it is stopped at once; all else waits for the record.
    */
-  public void cancelTold(String id) {
+  public void cancelConfirmed(String id) {
     Job j = jobs.get(id);
     if (j != null && !j.unwanted()) {
-      j.cancelTold = true;
+      j.cancelConfirmed = true;
       j.cancelledAfter = cancellations.knownUntil();
       calls.note(id + " cancelled by what users were told, " + j.bound + " tasks to stop");
       stopAll(j);
@@ -315,8 +315,8 @@
    * Leaves a job alone of which a record cannot be read. What has been taken in of it is let go: no
    * room is counted for it, and its machines get nothing new while they list its tasks.
    */
-  public void setAside(String id) {
-    aside.add(id);
+  public void quarantine(String id) {
+    quarantined.add(id);
     Job j = jobs.remove(id);
     if (j == null) {
       return;
@@ -331,8 +331,8 @@
     changed = true;
   }
 
-  public boolean isAside(String id) {
-    return aside.contains(id);
+  public boolean isQuarantined(String id) {
+    return quarantined.contains(id);
   }
 
   /** A job has the priority of the most urgent one that needs it. */
--- a/src/main/java/org/snowturn/core/act/MachineRegistry.java
+++ b/src/main/java/org/snowturn/core/act/MachineRegistry.java
@@ -10,9 +10,9 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.MachineBook;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.Slot;
 import org.snowturn.core.store.FormatGate;
@@ -106,7 +106,8 @@
   private Page page(int number) {
     while (pages.size() <= number) {
       int n = pages.size();
-      pages.add(new Page(writer.slot(Keys.ROLL + n, 0, () -> content(pages.get(n)), () -> null)));
+      pages.add(
+          new Page(writer.slot(Keys.REGISTRY + n, 0, () -> content(pages.get(n)), () -> null)));
     }
     return pages.get(number);
   }
@@ -192,10 +193,10 @@
 
   /** Writes a machine down; it may get tasks once that is durable. */
   public void enter(Machine m, Runnable onDurable) {
-    if (m.rollPage < 0) {
+    if (m.registryPage < 0) {
       put(m, pageWithRoom(m));
     }
-    writer.mark(page(m.rollPage).slot, URGENCY, onDurable);
+    writer.mark(page(m.registryPage).slot, URGENCY, onDurable);
   }
 
   private int pageWithRoom(Machine m) {
@@ -207,13 +208,13 @@
   }
 
   private void put(Machine m, int number) {
-    m.rollPage = number;
+    m.registryPage = number;
     page(number).machines.add(m);
   }
 
   /** Takes over a stored page; {@code each} is told of every machine on it. */
   public void load(StateMessage.Entry e, Consumer<Machine> each) {
-    int number = Integer.parseInt(e.key().substring(Keys.ROLL.length()));
+    int number = Integer.parseInt(e.key().substring(Keys.REGISTRY.length()));
     page(number).slot.stamp = e.stamp();
     boolean second = e.value().path("v").asInt(Keys.VERSION) >= Keys.SECOND;
     for (JsonNode v : e.value().path("m")) {
@@ -244,7 +245,7 @@
         Machine m = it.next();
         if (m.gone && m.bound.isEmpty()) {
           it.remove();
-          m.rollPage = -1;
+          m.registryPage = -1;
           p.struck = true;
         }
         images |= m.imagesChanged;
@@ -276,7 +277,7 @@
     List<Machine> moved = List.copyOf(p.machines.subList(fitting, p.machines.size()));
     int[] missing = {moved.size()};
     for (Machine m : moved) {
-      m.rollPage = -1;
+      m.registryPage = -1;
       enter(
           m,
           () -> {
--- a/src/main/java/org/snowturn/core/act/Orders.java
+++ b/src/main/java/org/snowturn/core/act/Orders.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.agrona.collections.LongHashSet;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
 import org.snowturn.core.recovery.Reconciliation;
 import org.snowturn.core.recovery.Reconciliation.Verdict;
 import org.snowturn.wire.Command;
@@ -70,7 +70,7 @@
 
   /** What to do about one task that is on the newest report; null if nothing. */
   private Command order(Machine m, Report r, TaskReport t, Job j, boolean here) {
-    if (cases.isAside(t)) {
+    if (cases.isQuarantined(t)) {
       // Its record cannot be read, but users may have been told: what runs of it may be stopped.
       return cancellations.known(t.job()) ? stop(t) : null;
     }
@@ -86,7 +86,7 @@
    * overtaken a check-in has given no orders, and the answer renews the lease all the same.
    */
   private boolean unwanted(TaskReport t, Job j) {
-    boolean gone = j == null && !ledger.isAside(t.job());
+    boolean gone = j == null && !ledger.isQuarantined(t.job());
     return t.state() != TaskReport.State.ENDED
         && (gone || cancellations.known(t.job()) || (j != null && j.unwanted()));
   }
--- a/src/main/java/org/snowturn/core/act/ReportCases.java
+++ b/src/main/java/org/snowturn/core/act/ReportCases.java
@@ -1,8 +1,8 @@
 package org.snowturn.core.act;
 
 import org.snowturn.core.evidence.EndEvidence;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
 import org.snowturn.core.recovery.Reconciliation;
 import org.snowturn.core.recovery.Reconciliation.Seen;
 import org.snowturn.core.recovery.Reconciliation.Stored;
@@ -30,8 +30,8 @@
   }
 
   /** Whether the task is alive and its job is one that is left alone. */
-  boolean isAside(TaskReport t) {
-    return t.state() != TaskReport.State.ENDED && ledger.isAside(t.job());
+  boolean isQuarantined(TaskReport t) {
+    return t.state() != TaskReport.State.ENDED && ledger.isQuarantined(t.job());
   }
 
   private static Stored stored(Job j, int t) {
--- a/src/main/java/org/snowturn/core/act/Reports.java
+++ b/src/main/java/org/snowturn/core/act/Reports.java
@@ -6,11 +6,11 @@
 import org.snowturn.core.calls.Calls;
 import org.snowturn.core.evidence.EndEvidence;
 import org.snowturn.core.evidence.EndEvidence.ReportedEnded;
-import org.snowturn.core.picture.Catalog;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.MachineBook;
-import org.snowturn.core.picture.SpotLosses;
+import org.snowturn.core.model.Catalog;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.MachineBook;
+import org.snowturn.core.model.SpotLosses;
 import org.snowturn.core.recovery.Reconciliation;
 import org.snowturn.core.recovery.Reconciliation.Verdict;
 import org.snowturn.wire.JobSpec;
@@ -142,7 +142,7 @@
     for (TaskReport t : r.tasks()) {
       Job j = ledger.job(t.job());
       if (j == null || t.task() >= j.state.length) {
-        unaccounted += cases.isAside(t) ? 1 : 0;
+        unaccounted += cases.isQuarantined(t) ? 1 : 0;
         continue;
       }
       Verdict v = Reconciliation.of(cases.listed(m, r, t, j));
--- a/src/main/java/org/snowturn/core/act/TaskRecordLoader.java
+++ b/src/main/java/org/snowturn/core/act/TaskRecordLoader.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.function.IntPredicate;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.MachineBook;
-import org.snowturn.core.picture.TaskRecords;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.MachineBook;
+import org.snowturn.core.model.TaskRecords;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.Slot;
 import org.snowturn.core.store.FormatGate;
@@ -66,15 +66,15 @@
         from,
         new TaskRecords.Reader() {
           /**
-           * Whether the machine is on no page of the roll. Those who write the second format enter
-           * a machine before its first placement, and strike it out only when all on it has ended
-           * for certain: what was placed there waits. Taken for bound, it would be missed for as
-           * long as a lease (zone cut, leader dies). The first version kept no roll, so its records
-           * say nothing of the kind.
+           * Whether the machine is on no page of the registry. Those who write the second format
+           * enter a machine before its first placement, and strike it out only when all on it has
+           * ended for certain: what was placed there waits. Taken for bound, it would be missed for
+           * as long as a lease (zone cut, leader dies). The first version kept no registry, so its
+           * records say nothing of the kind.
            */
           private boolean struckOut(String machine) {
             Machine m = machines.find(machine);
-            return secondFormat && (m == null || m.rollPage < 0);
+            return secondFormat && (m == null || m.registryPage < 0);
           }
 
           private boolean isNews(int t) {
@@ -94,7 +94,8 @@
           public void placed(int t, long attempt, String machine, long session) {
             if (isNews(t) && !struckOut(machine)) {
               Machine m = machines.getOrCreate(machine);
-              // An earlier leader may have answered it until now, whether or not it is on the roll.
+              // An earlier leader may have answered it until now, whether or not it is on the
+              // registry.
               m.lastAnswerAt = Math.max(m.lastAnswerAt, calls.now());
               ledger.inherit(j, t, m, attempt, session);
             }
--- a/src/main/java/org/snowturn/core/admission/Purpose.java
+++ b/src/main/java/org/snowturn/core/admission/Purpose.java
@@ -11,10 +11,10 @@
   /** Users' submissions and cancellations. */
   USERS(0.2, 0.1),
 
-  /** What proves for all polls at once that a node's picture is fresh. */
+  /** What proves for all polls at once that a node's cache is fresh. */
   PROOFS(0.15, 0.15),
 
-  /** Reads for single polls, where no picture can serve. */
+  /** Reads for single polls, where no cache can serve. */
   READS(0.05, 0.45),
 
   /** All that can be later: watches, formats. */
--- a/src/main/java/org/snowturn/core/authority/CancellationWatermark.java
+++ b/src/main/java/org/snowturn/core/authority/CancellationWatermark.java
@@ -8,7 +8,7 @@
 import org.snowturn.config.Settings;
 import org.snowturn.core.PeerRecord;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 import org.snowturn.core.records.LruMap;
 import org.snowturn.wire.JobSpec;
 
--- a/src/main/java/org/snowturn/core/authority/Election.java
+++ b/src/main/java/org/snowturn/core/authority/Election.java
@@ -11,7 +11,7 @@
 import org.snowturn.core.PeerRecord;
 import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.recovery.Backoff;
 import org.snowturn.wire.Json;
@@ -206,7 +206,7 @@
     tell();
     watermark.tick(role == Role.LEADING);
     if (role == Role.LEADING) {
-      noteHorizon();
+      logCancellationsKnown();
       if (!renewing && now >= renewAt) {
         renew();
       }
@@ -262,7 +262,7 @@
         : promises.holdOfAll(calls.now()) ? "promises" : "none";
   }
 
-  private void noteHorizon() {
+  private void logCancellationsKnown() {
     if (wasCurrent != watermark.current()) {
       wasCurrent = !wasCurrent;
       calls.note(
--- a/src/main/java/org/snowturn/core/authority/StateServiceHealth.java
+++ b/src/main/java/org/snowturn/core/authority/StateServiceHealth.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 import org.snowturn.core.records.Keys;
 
 /** Whether the state service answers this node, and whether it answers the peers. */
--- a/src/main/java/org/snowturn/core/decide/Aging.java
+++ b/src/main/java/org/snowturn/core/decide/Aging.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import org.snowturn.core.admission.Meter;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
 import org.snowturn.wire.JobSpec;
 
 /**
--- a/src/main/java/org/snowturn/core/decide/Placer.java
+++ b/src/main/java/org/snowturn/core/decide/Placer.java
@@ -12,10 +12,10 @@
 import org.snowturn.core.admission.Floors;
 import org.snowturn.core.admission.Guarantees;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.MachineBook;
-import org.snowturn.core.picture.SpotLosses;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.MachineBook;
+import org.snowturn.core.model.SpotLosses;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Priority;
 
--- a/src/main/java/org/snowturn/core/decide/RoomMaker.java
+++ b/src/main/java/org/snowturn/core/decide/RoomMaker.java
@@ -9,8 +9,8 @@
 import org.snowturn.core.act.Ledger;
 import org.snowturn.core.act.Reports;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Priority;
 
--- a/src/main/java/org/snowturn/core/decide/WaitingOrder.java
+++ b/src/main/java/org/snowturn/core/decide/WaitingOrder.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.snowturn.config.Settings;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 
 /**
  * In which order waiting jobs get room: by priority, services first, then by what can still be kept
--- a/src/main/java/org/snowturn/core/decide/ZoneOutages.java
+++ b/src/main/java/org/snowturn/core/decide/ZoneOutages.java
@@ -1,7 +1,7 @@
 package org.snowturn.core.decide;
 
 import java.util.Arrays;
-import org.snowturn.core.picture.Machine;
+import org.snowturn.core.model.Machine;
 
 /**
  * Whose silence it is when machines are not heard: their own, their zone's, or this node's.
--- a/src/main/java/org/snowturn/core/picture/Catalog.java
+++ b/src/main/java/org/snowturn/core/model/Catalog.java
@@ -1,4 +1,4 @@
-package org.snowturn.core.picture;
+package org.snowturn.core.model;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.LinkedHashMap;
--- a/src/main/java/org/snowturn/core/picture/LiveJobs.java
+++ b/src/main/java/org/snowturn/core/model/LiveJobs.java
@@ -1,4 +1,4 @@
-package org.snowturn.core.picture;
+package org.snowturn.core.model;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
@@ -41,12 +41,12 @@
     this.cancelled = cancelled;
   }
 
-  /** Whether there is a picture at all. */
+  /** Whether there is a cache at all. */
   public boolean known() {
     return revision >= 0;
   }
 
-  /** The picture is complete up to here. */
+  /** The cache is complete up to here. */
   public long revision() {
     return revision;
   }
@@ -66,7 +66,7 @@
 
   /**
    * All changes since {@link #revision}, up to {@code epoch}. An answer that is older than the
-   * picture changes nothing.
+   * cache changes nothing.
    */
   public void follow(List<StateMessage.Entry> changes, long epoch) {
     if (epoch < revision) {
--- a/src/main/java/org/snowturn/core/picture/Machine.java
+++ b/src/main/java/org/snowturn/core/model/Machine.java
@@ -1,4 +1,4 @@
-package org.snowturn.core.picture;
+package org.snowturn.core.model;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -84,8 +84,8 @@
   /** Images that the machine should have, most recently used last, with their sizes. */
   public final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
-  /** The page of the roll that it is on, or -1. */
-  public int rollPage = -1;
+  /** The page of the registry that it is on, or -1. */
+  public int registryPage = -1;
 
   /** Whether the stored list of images is behind. */
   public boolean imagesChanged;
--- a/src/main/java/org/snowturn/core/picture/MachineBook.java
+++ b/src/main/java/org/snowturn/core/model/MachineBook.java
@@ -1,4 +1,4 @@
-package org.snowturn.core.picture;
+package org.snowturn.core.model;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/org/snowturn/core/picture/SpotLosses.java
+++ b/src/main/java/org/snowturn/core/model/SpotLosses.java
@@ -1,4 +1,4 @@
-package org.snowturn.core.picture;
+package org.snowturn.core.model;
 
 /**
  * How often the cloud takes spot machines back, as this leader has seen it; until it has seen
--- a/src/main/java/org/snowturn/core/reach/ConnectivityMonitor.java
+++ b/src/main/java/org/snowturn/core/reach/ConnectivityMonitor.java
@@ -9,7 +9,7 @@
 import org.snowturn.core.Outcome;
 import org.snowturn.core.PeerRecord;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 
 /**
  * What this node reaches, and what its peers say that they reach. A node that does not lead hears
--- a/src/main/java/org/snowturn/core/records/Keys.java
+++ b/src/main/java/org/snowturn/core/records/Keys.java
@@ -10,7 +10,7 @@
   public static final String JOBS = "j/";
   public static final String OVER = "d/";
   public static final String TASKS = "t/";
-  public static final String ROLL = "r/";
+  public static final String REGISTRY = "r/";
   public static final String RESTARTS = "s/";
   public static final int VERSION = 1;
 
--- a/src/main/java/org/snowturn/core/term/Leader.java
+++ b/src/main/java/org/snowturn/core/term/Leader.java
@@ -32,13 +32,13 @@
 import org.snowturn.core.decide.StandingFleet;
 import org.snowturn.core.decide.WaitingOrder;
 import org.snowturn.core.decide.ZoneOutages;
-import org.snowturn.core.picture.Catalog;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.MachineBook;
-import org.snowturn.core.picture.Quota;
-import org.snowturn.core.picture.RestartRecords;
-import org.snowturn.core.picture.SpotLosses;
+import org.snowturn.core.model.Catalog;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.MachineBook;
+import org.snowturn.core.model.Quota;
+import org.snowturn.core.model.RestartRecords;
+import org.snowturn.core.model.SpotLosses;
 import org.snowturn.core.reach.ConnectivityMonitor;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.StoredJob;
@@ -136,7 +136,7 @@
         new Ledger.Listener() {
           @Override
           public void joined(Job j) {
-            j.cancelTold = cancellations.known(j.spec.id());
+            j.cancelConfirmed = cancellations.known(j.spec.id());
           }
         });
     registry = new MachineRegistry(calls, writer, machines, gate);
@@ -225,7 +225,7 @@
 
   /** A user was told, by whichever node, that the job is cancelled. */
   public void cancelled(String job) {
-    ledger.cancelTold(job);
+    ledger.cancelConfirmed(job);
   }
 
   /** Nothing of this term may act any more. */
--- a/src/main/java/org/snowturn/core/term/TermRecovery.java
+++ b/src/main/java/org/snowturn/core/term/TermRecovery.java
@@ -15,10 +15,10 @@
 import org.snowturn.core.act.SubmissionParts;
 import org.snowturn.core.authority.CancellationWatermark;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Catalog;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.MachineBook;
+import org.snowturn.core.model.Catalog;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.MachineBook;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.StoredJob;
 import org.snowturn.core.recovery.Phase;
@@ -72,7 +72,7 @@
   private final FormatGate gate;
   private final Ledger ledger;
   private final MachineBook machines;
-  private final MachineRegistry roll;
+  private final MachineRegistry registry;
   private final BiConsumer<String, StateMessage.Entry> restarts;
   private final BooleanSupplier ended;
   private final Phases phases;
@@ -106,7 +106,7 @@
       FormatGate gate,
       Ledger ledger,
       MachineBook machines,
-      MachineRegistry roll,
+      MachineRegistry registry,
       BiConsumer<String, StateMessage.Entry> restarts,
       BooleanSupplier ended) {
     this.calls = calls;
@@ -116,7 +116,7 @@
     this.gate = gate;
     this.ledger = ledger;
     this.machines = machines;
-    this.roll = roll;
+    this.registry = registry;
     this.restarts = restarts;
     this.ended = ended;
     this.phases = new Phases(calls.now());
@@ -152,7 +152,7 @@
           if (ended.getAsBoolean()) {
             return;
           }
-          read(Keys.ROLL);
+          read(Keys.REGISTRY);
           read(Keys.TASKS2);
           read(Keys.TASKS);
           read(Keys.RESTARTS);
@@ -208,14 +208,16 @@
   }
 
   private void taken() {
-    read.get(Keys.ROLL).entries().forEach(e -> readable(e, () -> roll.load(e, this::recorded)));
+    read.get(Keys.REGISTRY)
+        .entries()
+        .forEach(e -> readable(e, () -> registry.load(e, this::recorded)));
     watchFrom = read.get(Keys.JOBS).epoch();
-    Set<String> aside = new HashSet<>();
-    loadJobs(aside);
+    Set<String> quarantined = new HashSet<>();
+    loadJobs(quarantined);
     List<StateMessage.Change> orphans = new ArrayList<>();
-    loadTasks(read.get(Keys.TASKS2), Keys.TASKS2, aside, orphans);
-    loadTasks(read.get(Keys.TASKS), Keys.TASKS, aside, orphans);
-    aside.forEach(ledger::setAside);
+    loadTasks(read.get(Keys.TASKS2), Keys.TASKS2, quarantined, orphans);
+    loadTasks(read.get(Keys.TASKS), Keys.TASKS, quarantined, orphans);
+    quarantined.forEach(ledger::quarantine);
     for (StateMessage.Entry e : read.get(Keys.RESTARTS).entries()) {
       readable(e, () -> restarts.accept(e.key().substring(Keys.RESTARTS.length()), e));
     }
@@ -276,7 +278,7 @@
    * smaller than it is, its tasks would be stopped, or started a second time. Of a cancelled one
    * nothing is needed any more, whatever cannot be read.
    */
-  private void loadJobs(Set<String> aside) {
+  private void loadJobs(Set<String> quarantined) {
     List<StateMessage.Entry> parts = read.get(Keys.PARTS).entries();
     Map<String, String> texts = StoredJob.texts(parts);
     Set<String> used = new HashSet<>();
@@ -299,7 +301,7 @@
                 }
               });
       if (!read && StoredJob.phaseOf(e.value()) != JobView.Phase.ABORTED) {
-        aside.add(id);
+        quarantined.add(id);
         String mine = Keys.PARTS + id + "/";
         parts.stream()
             .map(StateMessage.Entry::key)
@@ -311,13 +313,16 @@
   }
 
   private void loadTasks(
-      Loader.Range range, String prefix, Set<String> aside, List<StateMessage.Change> orphans) {
+      Loader.Range range,
+      String prefix,
+      Set<String> quarantined,
+      List<StateMessage.Change> orphans) {
     boolean older = gate.open() && prefix.equals(Keys.TASKS);
     for (StateMessage.Entry e : range.entries()) {
       String rest = e.key().substring(prefix.length());
       int slash = rest.lastIndexOf('/');
       String id = slash < 0 ? rest : rest.substring(0, slash);
-      if (aside.contains(id)) {
+      if (quarantined.contains(id)) {
         continue;
       }
       Job j = ledger.job(id);
@@ -335,7 +340,7 @@
                 }
               });
       if (!read && j != null && !j.cancelled) {
-        aside.add(id);
+        quarantined.add(id);
       }
     }
   }
--- a/src/main/java/org/snowturn/core/users/JobApi.java
+++ b/src/main/java/org/snowturn/core/users/JobApi.java
@@ -17,9 +17,9 @@
 import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.admission.SubmitGate;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Catalog;
-import org.snowturn.core.picture.LiveJobs;
-import org.snowturn.core.picture.Quota;
+import org.snowturn.core.model.Catalog;
+import org.snowturn.core.model.LiveJobs;
+import org.snowturn.core.model.Quota;
 import org.snowturn.core.reach.Relays;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.LruMap;
@@ -66,7 +66,7 @@
   private final FormatGate format;
   private final Relays relays;
   private final SubmitGate gate;
-  private final LivePicture picture;
+  private final LiveJobCache liveJobs;
   private final Map<String, JobView> over = new LruMap<>(REMEMBERED);
 
   /** Jobs known to have been accepted, and whether they are services: neither ever changes. */
@@ -81,13 +81,13 @@
       FormatGate format,
       Relays relays,
       SubmitGate gate,
-      LivePicture picture,
+      LiveJobCache liveJobs,
       BooleanSupplier stateHealthy,
       CancelledJobs cancelled) {
     this.cancelled = cancelled;
     this.relays = relays;
     this.gate = gate;
-    this.picture = picture;
+    this.liveJobs = liveJobs;
     this.format = format;
     this.stateHealthy = stateHealthy;
     this.settings = settings;
@@ -221,7 +221,8 @@
   private void write(long exchange, JobSpec spec) {
     if (!gate.admits(spec.jobClass() + "/" + spec.team(), 1, calls.now())) {
       // A known job's repeat is answered whatever the pressure, from what is at hand.
-      if (accepted.containsKey(spec.id()) || (picture.known() && picture.get(spec.id()) != null)) {
+      if (accepted.containsKey(spec.id())
+          || (liveJobs.known() && liveJobs.get(spec.id()) != null)) {
         unlessKnown(exchange, spec, null);
       } else {
         refuse(exchange);
@@ -407,17 +408,17 @@
   }
 
   /**
-   * What is known of a job: at once if it is over, from the picture of the live ones once that is
+   * What is known of a job: at once if it is over, from the cache of the live ones once that is
    * proven fresh, and else from the records themselves.
    */
   private void lookUp(long exchange, String id, Found then) {
     JobView known = over.get(id);
     if (known != null) {
       then.on(known);
-    } else if (picture.known() && relays.direct()) {
-      picture.whenFresh(
+    } else if (liveJobs.known() && relays.direct()) {
+      liveJobs.whenFresh(
           () -> {
-            LiveJobs.Seen live = picture.get(id);
+            LiveJobs.Seen live = liveJobs.get(id);
             if (live != null && !live.cancelled() && mayNeedCancelled(live.awaits())) {
               refuse(exchange);
             } else if (live != null) {
@@ -449,7 +450,7 @@
       if (cancelled.known(id)) {
         return true;
       }
-      LiveJobs.Seen live = picture.get(id);
+      LiveJobs.Seen live = liveJobs.get(id);
       for (String needed : live == null ? List.<String>of() : live.awaits()) {
         if (seen.add(needed)) {
           next.add(needed);
--- a/src/main/java/org/snowturn/core/users/LivePicture.java
+++ b/src/main/java/org/snowturn/core/users/LiveJobCache.java
@@ -7,8 +7,8 @@
 import org.snowturn.core.Outcome;
 import org.snowturn.core.admission.Purpose;
 import org.snowturn.core.calls.Calls;
-import org.snowturn.core.picture.Job;
-import org.snowturn.core.picture.LiveJobs;
+import org.snowturn.core.model.Job;
+import org.snowturn.core.model.LiveJobs;
 import org.snowturn.core.records.Keys;
 import org.snowturn.core.records.StoredJob;
 import org.snowturn.core.recovery.Backoff;
@@ -18,17 +18,17 @@
 import org.snowturn.wire.StateMessage;
 
 /**
- * Keeps a picture of the live jobs on every node and proves that it is fresh: one question for the
+ * Keeps a cache of the live jobs on every node and proves that it is fresh: one question for the
  * changes since, sent after all who wait for it have asked, answers them all. So polls cost the
  * state service nothing apiece; what it is asked grows with time and with changes.
  */
-public final class LivePicture {
-  /** Who wants to know what the picture proves. */
+public final class LiveJobCache {
+  /** Who wants to know what the cache proves. */
   public interface Listener {
     /** The job's record says that it is cancelled. */
     void cancelled(String job);
 
-    /** The picture holds all that was stored at this moment, and all of it has been told. */
+    /** The cache holds all that was stored at this moment, and all of it has been told. */
     void complete(long at);
   }
 
@@ -58,7 +58,7 @@
   private final long everyMs;
   private final long refreshMs;
   private final LiveJobs jobs =
-      new LiveJobs(Keys.JOBS, LivePicture::isCancelled, StoredJob::awaits);
+      new LiveJobs(Keys.JOBS, LiveJobCache::isCancelled, StoredJob::awaits);
   private final Backoff backoff;
   private ArrayDeque<Asker> waiting = new ArrayDeque<>();
   private boolean busy;
@@ -67,7 +67,7 @@
   private long proofs;
   private long loads;
 
-  public LivePicture(Settings settings, Calls calls, Listener listener) {
+  public LiveJobCache(Settings settings, Calls calls, Listener listener) {
     this.calls = calls;
     this.listener = listener;
     this.backoff = calls.backoff(LEAST_EVERY_MS, 1_000);
@@ -79,7 +79,7 @@
     everyMs = Math.max(LEAST_EVERY_MS, (long) (1000 / Math.max(0.1, each)));
   }
 
-  /** Whether there is a picture that can be proven fresh by one question. */
+  /** Whether there is a cache that can be proven fresh by one question. */
   public boolean known() {
     return jobs.known();
   }
@@ -90,9 +90,8 @@
   }
 
   /**
-   * Calls one of the two, once: {@code fresh} when the picture holds everything that was stored
-   * when this was called, {@code unknown} if that could not be found out in the time that a user
-   * waits.
+   * Calls one of the two, once: {@code fresh} when the cache holds everything that was stored when
+   * this was called, {@code unknown} if that could not be found out in the time that a user waits.
    */
   public void whenFresh(Runnable fresh, Runnable unknown) {
     if (waiting.size() >= MOST_WAITING) {
@@ -103,7 +102,7 @@
     step();
   }
 
-  /** Proves the picture at the next occasion, whether or not anybody waits for it. */
+  /** Proves the cache at the next occasion, whether or not anybody waits for it. */
   public void refresh() {
     freshAt = Job.UNKNOWN;
   }
@@ -202,7 +201,7 @@
             });
   }
 
-  /** How many questions proved the picture, or tried to. */
+  /** How many questions proved the cache, or tried to. */
   public long proofs() {
     return proofs;
   }
--- a/src/test/java/org/snowturn/core/SpeculatorTest.java
+++ b/src/test/java/org/snowturn/core/SpeculatorTest.java
@@ -5,8 +5,8 @@
 
 import org.junit.jupiter.api.Test;
 import org.snowturn.core.decide.Speculator;
-import org.snowturn.core.picture.Machine;
-import org.snowturn.core.picture.Samples;
+import org.snowturn.core.model.Machine;
+import org.snowturn.core.model.Samples;
 
 /** The figures of DESIGN-snowturn.md: score, rate, time left, percentile. */
 class SpeculatorTest {
--- a/src/test/java/org/snowturn/core/WaitingOrderTest.java
+++ b/src/test/java/org/snowturn/core/WaitingOrderTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.snowturn.config.Settings;
 import org.snowturn.core.decide.WaitingOrder;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Submissions;
 
--- a/src/test/java/org/snowturn/core/decide/AgingTest.java
+++ b/src/test/java/org/snowturn/core/decide/AgingTest.java
@@ -9,7 +9,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.snowturn.core.picture.Job;
+import org.snowturn.core.model.Job;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Submissions;
 
