--- /dev/null
+++ b/review/standins/review/Sites.java
@@ -0,0 +1,45 @@
+package review;
+
+import java.util.List;
+
+/** Settings as in the users' pages. */
+final class Sites {
+  private Sites() {}
+
+  /** Chiang Hands Market Group, as in BRIEF, with two teams and the limits of a controller. */
+  static Deployment.Settings chiangHands() {
+    return new Deployment.Settings(
+        List.of("bangkok-a", "bangkok-b", "chiangmai"),
+        List.of("marketplace-core-00", "marketplace-core-01"),
+        objective("deadline", "seller-payout", 0.9, "times = 1.0")
+            + objective("deadline", "seller-payout", 0.975, "times = 1.5")
+            + objective("wait", "seller-payout", 0.82, "within_s = 30.0")
+            + objective("wait", "storefront", 0.95, "within_s = 1.0"),
+        1.5,
+        10.0,
+        30.0,
+        new StateService.Limits(200, 80, 16, 24),
+        6,
+        5,
+        "cores = 0.34\nmemory_mb = 205.0\nmax_connections = 1200\n");
+  }
+
+  /** The machine types of Chiang Hands; boot times shortened within what PROTOCOL allows. */
+  static List<Cloud.Type> chiangHandsTypes() {
+    return List.of(
+        new Cloud.Type("lanna-16", 16, 64, 0.1, 4, 5),
+        new Cloud.Type("lanna-64", 64, 256, 0.15, 4, 2));
+  }
+
+  private static String objective(String kind, String jobClass, double share, String entry) {
+    return "[[deployment.objectives]]\nkind = \""
+        + kind
+        + "\"\nclass = \""
+        + jobClass
+        + "\"\nshare = "
+        + share
+        + "\n"
+        + entry
+        + "\n";
+  }
+}
