Review, case 2: messages to workers above 64 KiB, and an accepted array that never starts

Tried: one array of 1,500 tasks of 0.01 cores, which all fit on one machine; workers that keep to the limits of PROTOCOL.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../standins/run.sh" Case2 "$(dirname "$0")"
