Review, case 3: after an outage longer than cancel_s, jobs that need a cancelled one are called queued

Tried: 48 jobs that each name 160 others, one of these cancelled, then one outage of the state service of 49 s; cancel_s is 46 s.

--- a/review/standins/review/Case3.java
+++ b/review/standins/review/Case3.java
@@ -1,12 +1,20 @@
 package review;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** A job bound to one zone loses its machine while machines of other zones have room. */
+/** A job is cancelled that others need, and the state service is out for longer than cancel_s. */
 final class Case3 extends Case {
-  private static final String ZONE = "chiangmai";
-  private static final int FLAKES = 2;
+  private static final int STAGES = 160;
+  private static final int DEPENDENTS = 48;
+  private static final double OUTAGE_S = 49;
+
+  private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
 
   public static void main(String[] args) {
     main(new Case3(), args);
@@ -14,66 +22,126 @@
 
   @Override
   Deployment.Settings settings() {
-    return Sites.chiangHands();
+    return Sites.coralSeaNext();
   }
 
   @Override
   List<Cloud.Type> types() {
-    return Sites.chiangHandsTypes();
+    return Sites.coralSeaTypes();
+  }
+
+  private static ObjectNode job(
+      int number, String jobClass, String rank, List<String> awaits) {
+    ObjectNode job =
+        Deployment.job(
+            String.format("wk-%06d", number), jobClass, "settlement-ops", "batch", rank, 1);
+    ArrayNode names = job.putArray("awaits");
+    awaits.forEach(names::add);
+    return job;
+  }
+
+  private int submitAll(List<ObjectNode> jobs) throws Exception {
+    AtomicInteger next = new AtomicInteger();
+    AtomicInteger accepted = new AtomicInteger();
+    CountDownLatch left = new CountDownLatch(6);
+    for (int i = 0; i < 6; i++) {
+      Net.run(
+          () -> {
+            int index;
+            while ((index = next.getAndIncrement()) < jobs.size()) {
+              deployment.upload(jobs.get(index), 5_000);
+              int status = deployment.submit(jobs.get(index), index);
+              accepted.addAndGet(status == 200 || status == 201 ? 1 : 0);
+            }
+            left.countDown();
+          });
+    }
+    left.await();
+    return accepted.get();
   }
 
   @Override
   String run() throws Exception {
-    ObjectNode other =
-        Deployment.job("wk-000001", "seller-payout", "marketplace-core-00", "batch", "high", 10);
-    other.put("cores", 4.0).put("ram_gb", 10.0).put("guess_s", 5.0);
-    deployment.upload(other, 5_000);
-    ObjectNode bound =
-        Deployment.job(
-            "wk-000002", "seller-payout", "marketplace-core-01", "batch", "high", FLAKES);
-    bound.put("cores", 4.0).put("ram_gb", 10.0).put("guess_s", 30.0).put("field", ZONE);
-    deployment.upload(bound, 30_000);
-    require(deployment.submit(other) == 201, "wk-000001 was not accepted");
-    require(deployment.submit(bound) == 201, "wk-000002 was not accepted");
-    boolean isRunning =
-        await(
-            30,
-            () ->
-                deployment.resultCount("wk-000001") == 10
-                    && deployment.isRunning("wk-000002/0")
-                    && deployment.isRunning("wk-000002/1"));
-    require(isRunning, "the jobs did not start");
-    int hiredBefore = deployment.cloud.hiredIn(ZONE);
+    // The first stage runs for a long time; the others wait for it, and the last ones for those.
+    ObjectNode first = job(1, "fx-rate-backfill", "low", List.of());
+    deployment.upload(first, 600_000);
+    int status = 0;
+    while (deployment.seconds() < 20 && status != 200 && status != 201) {
+      status = deployment.submit(first, 0);
+    }
+    List<ObjectNode> stages = new ArrayList<>();
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < STAGES; i++) {
+      stages.add(job(1_000 + i, "aml-screen", "normal", List.of("wk-000001")));
+      names.add(stages.get(i).path("id").asText());
+    }
+    require(submitAll(stages) == STAGES, "not all stages were accepted");
+    List<ObjectNode> last = new ArrayList<>();
+    for (int i = 0; i < DEPENDENTS; i++) {
+      last.add(job(5_000 + i, "payout-release", "high", names));
+    }
+    require(submitAll(last) == DEPENDENTS, "not all last jobs were accepted");
+    deployment.record("test", "submission of a last job has " + Net.bytes(last.get(0)).length);
+    Net.sleep(1_000);
+    require(deployment.seconds() < 55, "submitting took too long");
+
+    String cancelled = names.get(STAGES / 2);
+    Net.Answer answer = null;
+    for (int i = 0; i < 10 && (answer == null || answer.status() != 200); i++) {
+      answer =
+          Net.call(
+              deployment.nodes.get(i % 3).port,
+              "POST",
+              "/v2/runs/" + cancelled + "/cancel",
+              Net.bytes(Net.object()),
+              5_000);
+    }
+    long toldAt = Net.nowMs();
+    require(answer.text().contains("aborted"), "not cancelled: " + answer.text());
     if (trouble) {
-      for (Worker worker : deployment.cloud.workers()) {
-        if (worker.zone().equals(ZONE)) {
-          worker.die();
-        }
-      }
+      deployment.state.setOutage(true);
     }
-    double lostAt = deployment.seconds();
-    // 90 s after the trouble, which is over at once: the machines that stopped stay away.
-    await(
-        Math.min(92, 113 - deployment.seconds()),
-        () -> deployment.resultCount("wk-000002") == FLAKES);
+    deployment.record("user", "told: " + answer.text() + "; outage " + trouble);
+    Net.sleep((long) (OUTAGE_S * 1000) - (Net.nowMs() - toldAt));
+    deployment.state.setOutage(false);
+    deployment.record("test", "no outage from now on");
 
-    boolean isDone = deployment.resultCount("wk-000002") == FLAKES;
-    boolean isBusy = deployment.isRunning("wk-000002/0") || deployment.isRunning("wk-000002/1");
-    int hired = deployment.cloud.hiredIn(ZONE) - hiredBefore;
-    int free = deployment.cloud.freeSpotIn(ZONE, types().get(0));
+    long dueAt = toldAt + (long) (settings().cancelS() * 1000);
+    CountDownLatch left = new CountDownLatch(deployment.nodes.size());
+    for (Deployment.Node node : deployment.nodes) {
+      Net.run(
+          () -> {
+            ask(node, last, toldAt, dueAt);
+            left.countDown();
+          });
+    }
+    left.await();
     String seen =
-        String.format(
-            "%.0f s after the loss wk-000002 has %d of %d tasks done, %s running, answer %s;"
-                + " %d machines asked for in %s since, of %d that the cloud has there",
-            deployment.seconds() - lostAt,
-            deployment.resultCount("wk-000002"),
-            FLAKES,
-            isBusy ? "some" : "none",
-            deployment.poll(deployment.nodes.get(0), "wk-000002").text(),
-            hired,
-            ZONE,
-            free);
+        broken.size()
+            + " answers of queued or running later than cancel_s; first: "
+            + broken.peek();
     deployment.record("test", seen);
-    return isDone || isBusy || hired > 0 ? null : seen;
+    return broken.isEmpty() ? null : seen;
+  }
+
+  /** Asks a node about the last jobs in turn for some seconds. */
+  private void ask(Deployment.Node node, List<ObjectNode> jobs, long toldAt, long dueAt) {
+    long until = Net.nowMs() + 7_000;
+    for (int i = 0; Net.nowMs() < until; i++) {
+      String id = jobs.get(jobs.size() - 1 - i % jobs.size()).path("id").asText();
+      long askedAt = Net.nowMs();
+      Net.Answer answer = deployment.poll(node, id);
+      String text =
+          String.format(
+              "poll of %s asked %.2f s after the cancellation was told: %d %s",
+              id, (askedAt - toldAt) / 1000.0, answer.status(), answer.text());
+      deployment.record(node.name, text);
+      String phase = answer.json().path("phase").asText();
+      boolean isLive = phase.equals("queued") || phase.equals("running");
+      if (answer.status() == 200 && isLive && askedAt > dueAt) {
+        broken.add(node.name + ", " + text);
+      }
+      Net.sleep(answer.status() == 200 ? 20 : 100);
+    }
   }
 }
--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -32,6 +32,7 @@
       double leaseS,
       double cancelS,
       StateService.Limits state,
+      StateService.Limits nextState,
       double cloudRps,
       double listLagS,
       String machineLimits) {}
@@ -180,15 +181,23 @@
     toml.append(settings.objectives);
     toml.append("[deployment.workers]\nreport_s = " + settings.reportS);
     toml.append("\nlease_s = " + settings.leaseS + "\ngang_wait_s = 45.0\ngang_peer_s = 5.0\n");
-    toml.append("cancel_s = " + settings.cancelS + "\n[deployment.state]\n");
-    toml.append("rps = " + settings.state.rps() + "\nwrite_rps = " + settings.state.writeRps());
-    toml.append("\nvalue_kb = " + settings.state.valueKb());
-    toml.append("\ntxn_ops = " + settings.state.txnOps() + "\n[deployment.cloud]\n");
+    toml.append("cancel_s = " + settings.cancelS + "\n");
+    append(toml, "deployment.state", settings.state);
+    if (settings.nextState != null) {
+      append(toml, "deployment.state.next", settings.nextState);
+    }
+    toml.append("[deployment.cloud]\n");
     toml.append("rps = " + settings.cloudRps + "\nlist_lag_s = " + settings.listLagS + "\n");
     toml.append("[deployment.machine_limits]\n" + settings.machineLimits);
     return toml.toString();
   }
 
+  private static void append(StringBuilder toml, String table, StateService.Limits limits) {
+    toml.append("[" + table + "]\nrps = " + limits.rps() + "\nwrite_rps = ");
+    toml.append(limits.writeRps() + "\nvalue_kb = " + limits.valueKb());
+    toml.append("\ntxn_ops = " + limits.txnOps() + "\n");
+  }
+
   /** Starts all controllers and waits until each is ready; a process that ends is restarted. */
   void startControllers() throws Exception {
     for (Node node : nodes) {
@@ -288,10 +297,15 @@
 
   /** Submits a job as a user does, for up to 60 s; returns the last status. */
   int submit(JsonNode spec) {
+    return submit(spec, 0);
+  }
+
+  /** Submits a job as a user does, beginning at the given node. */
+  int submit(JsonNode spec, int firstNode) {
     String id = spec.path("id").asText();
     long until = Net.nowMs() + 60_000;
     int status = 0;
-    for (int i = 0; Net.nowMs() < until; i++) {
+    for (int i = firstNode; Net.nowMs() < until; i++) {
       Node node = nodes.get(i % nodes.size());
       status = Net.call(node.port, "POST", "/v2/runs", Net.bytes(spec), 5_000).status();
       record("user", "submit " + id + " to " + node.name + ": " + status);
--- a/review/standins/review/Sites.java
+++ b/review/standins/review/Sites.java
@@ -19,6 +19,7 @@
         10.0,
         30.0,
         new StateService.Limits(200, 80, 16, 24),
+        null,
         6,
         5,
         "cores = 0.34\nmemory_mb = 205.0\nmax_connections = 1200\n");
@@ -31,6 +32,33 @@
         new Cloud.Type("lanna-64", 64, 256, 0.15, 4, 2));
   }
 
+  /** Coral Sea Payments Consortium with pipelines, as in change/LATER. */
+  static Deployment.Settings coralSeaNext() {
+    return new Deployment.Settings(
+        List.of("brisbane-north", "brisbane-south", "cairns", "townsville"),
+        List.of("settlement-ops"),
+        objective("deadline", "nightly-settle", 0.975, "times = 1.0")
+            + objective("deadline", "nightly-settle", 0.992, "times = 1.5")
+            + objective("wait", "nightly-settle", 0.82, "within_s = 2.0")
+            + objective("wait", "corridor-api", 0.82, "within_s = 1.0")
+            + objective("deadline", "payout-release", 0.93, "times = 1.0")
+            + objective("deadline", "payout-release", 0.93, "times = 1.5")
+            + objective("wait", "ledger-archive", 0.96, "within_s = 40.0"),
+        3.0,
+        16.0,
+        46.0,
+        new StateService.Limits(150, 25, 4, 12),
+        new StateService.Limits(150, 18, 2, 4),
+        2,
+        4,
+        "cores = 0.34\nmemory_mb = 263.0\nmax_connections = 1800\n");
+  }
+
+  /** The machine type of Coral Sea; its boot time is within what PROTOCOL allows. */
+  static List<Cloud.Type> coralSeaTypes() {
+    return List.of(new Cloud.Type("reef-32", 32, 256, 1.0, 5, 3));
+  }
+
   private static String objective(String kind, String jobClass, double share, String entry) {
     return "[[deployment.objectives]]\nkind = \""
         + kind
--- a/review/standins/review/StateService.java
+++ b/review/standins/review/StateService.java
@@ -49,6 +49,7 @@
   private double changeTokens;
   private long refilledAt = Net.nowMs();
   private boolean closed;
+  private boolean isOut;
 
   record Limits(double rps, double writeRps, double valueKb, int txnOps) {}
 
@@ -75,6 +76,9 @@
           return;
         }
         long now = Net.nowMs();
+        if (isOut) {
+          leases.values().forEach(lease -> lease.endsAt = now + lease.lifeMs);
+        }
         for (Long id : List.copyOf(leases.keySet())) {
           if (now >= leases.get(id).endsAt) {
             end(id);
@@ -113,6 +117,20 @@
     }
   }
 
+  /**
+   * Begins or ends an outage: all requests get 503 and are not executed, open watches remain open,
+   * and afterwards every lease has its full time again.
+   */
+  synchronized void setOutage(boolean isOutNow) {
+    isOut = isOutNow;
+    leases.values().forEach(lease -> lease.endsAt = Net.nowMs() + lease.lifeMs);
+    notifyAll();
+  }
+
+  private synchronized boolean isOut() {
+    return isOut;
+  }
+
   /** Takes tokens; returns false if a limit is exceeded. */
   private synchronized boolean admit(int changeCount) {
     long now = Net.nowMs();
@@ -134,7 +152,9 @@
     String method = exchange.getRequestMethod();
     String path = exchange.getRequestURI().getPath();
     Map<String, String> query = Net.query(exchange.getRequestURI().getRawQuery());
-    if (method.equals("POST") && path.equals("/txn")) {
+    if (isOut()) {
+      Net.reply(exchange, 503, null);
+    } else if (method.equals("POST") && path.equals("/txn")) {
       transact(exchange, bytes);
     } else if (!admit(0)) {
       Net.reply(exchange, 429, null);
@@ -251,11 +271,11 @@
           }
         }
         long left = until - Net.nowMs();
-        if (!news.isEmpty() || left <= 0 || closed) {
+        if (closed || (!isOut && (!news.isEmpty() || left <= 0))) {
           body.put("epoch", epoch).set("news", news);
           break;
         }
-        wait(left);
+        wait(isOut ? 1_000 : left);
       }
     }
     Net.reply(exchange, body == null ? 410 : 200, body);
@@ -295,7 +315,9 @@
           failed.add(when.path("path").asText());
         }
       }
-      if (status == 400) {
+      if (isOut) {
+        status = 503;
+      } else if (status == 400) {
         body.put("error", "no such lease");
       } else if (!failed.isEmpty()) {
         status = 409;
