--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -59,6 +59,14 @@
     }
 
     void start() throws Exception {
+      synchronized (lifecycle) {
+        if (!isOver) {
+          startProcess();
+        }
+      }
+    }
+
+    private void startProcess() throws Exception {
       List<String> command = new ArrayList<>(runCommand());
       command.add(settingsFile.toString());
       ProcessBuilder builder =
@@ -113,6 +121,8 @@
   private final Map<String, Integer> losses = new HashMap<>();
   private final Set<Integer> ports = new HashSet<>();
   private final Thread hook = new Thread(this::killAll);
+  private final Object lifecycle = new Object();
+  private boolean isOver;
   private int starts;
   private volatile boolean watching;
 
@@ -401,9 +411,13 @@
     return Map.copyOf(oversize);
   }
 
+  /** Ends all processes; none is started after that. */
   private void killAll() {
     watching = false;
-    nodes.forEach(Node::kill);
+    synchronized (lifecycle) {
+      isOver = true;
+      nodes.forEach(Node::kill);
+    }
   }
 
   @Override
