Jobs take memory only for their assigned tasks

Cause: TaskTable held the state, machine, attempt, epoch and start time of every task of every live job, 29 bytes a task, made when the record is read, also for tasks that no machine has room for. JobTaskRecords held arrays by the number of records. What a user may submit, and no more, filled the heap of each leader that read it.

Evidence: a class histogram of the leader taken 36 s into the case: 57.7 MB in long[] and 9.9 MB in int[], which is 24 arrays times 100,000 tasks times three longs and one int; the standbys held 1.9 MB in their largest class. That rules out the caches of live jobs (on every node), the write queue, the bodies of requests and the answers to users.

Why this works: an entry exists only while a task is assigned, which the machines' room bounds; the rest of a task is a bit, taken once it has been placed. A waiting job takes the same memory whatever its number of tasks. Loops over all tasks (stop, release, stragglers, counts) visit the assigned ones.

--- a/src/main/java/org/snowturn/core/assignment/JobCompletion.java
+++ b/src/main/java/org/snowturn/core/assignment/JobCompletion.java
@@ -49,10 +49,8 @@
     if (job.isFinishing() || !hasEnded(job) || assignments.job(job.spec.id()) != job) {
       return;
     }
-    for (PendingRecord record : job.taskRecords()) {
-      if (record != null && record.isInFlight()) {
-        return; // retried once that write has completed
-      }
+    if (job.taskRecords().values().stream().anyMatch(PendingRecord::isInFlight)) {
+      return; // retried once that write has completed
     }
     job.beginFinishing();
     JobStatus.Phase phase =
@@ -87,11 +85,9 @@
     List<Change> deletes = new ArrayList<>();
     JobRecord.chunkKeys(job.spec.id(), job.submission(), job.chunkCount())
         .forEach(key -> deletes.add(Change.delete(key)));
-    for (PendingRecord record : job.taskRecords()) {
-      if (record != null) {
-        writer.cancelWrite(record);
-        addDeleteIfStored(record, deletes);
-      }
+    for (PendingRecord record : job.taskRecords().values()) {
+      writer.cancelWrite(record);
+      addDeleteIfStored(record, deletes);
     }
     job.firstFormatRecords().forEach(record -> addDeleteIfStored(record, deletes));
     return deletes;
--- a/src/main/java/org/snowturn/core/assignment/JobRegistry.java
+++ b/src/main/java/org/snowturn/core/assignment/JobRegistry.java
@@ -16,7 +16,6 @@
 import org.snowturn.core.storage.FormatGate;
 import org.snowturn.core.storage.JobRecord;
 import org.snowturn.core.storage.LruMap;
-import org.snowturn.core.storage.PendingRecord;
 import org.snowturn.core.storage.RecordWriter;
 import org.snowturn.core.storage.StorageKeys;
 import org.snowturn.wire.JobStatus;
@@ -209,12 +208,8 @@
             ? null
             : job.isCancellationRecorded() ? JobStatus.Phase.ABORTED : JobStatus.Phase.DONE;
     listeners.forEach(listener -> listener.onJobEnded(job, phase));
-    assignments.requeueAll(job);
-    for (PendingRecord record : job.taskRecords()) {
-      if (record != null) {
-        writer.remove(record);
-      }
-    }
+    assignments.unassignAll(job);
+    job.taskRecords().values().forEach(writer::remove);
     job.firstFormatRecords().forEach(writer::remove);
     jobsByIndex.set(job.index, null);
     assignments.markChanged();
--- a/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
+++ b/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.effects.LogEvent;
 import org.snowturn.core.effects.LogField;
@@ -214,10 +215,8 @@
     if (priority != job.priority()) {
       assignedByPriority.add(job.priority(), -job.assigned());
       assignedByPriority.add(priority, job.assigned());
-      for (int task = 0; job.assigned() > 0 && task < job.taskCount(); task++) {
-        if (job.isAssigned(task)) {
-          machines.get(job.machineOf(task)).reprioritize(job.priority(), priority);
-        }
+      for (int task = job.nextAssigned(0); task >= 0; task = job.nextAssigned(task + 1)) {
+        machines.get(job.machineOf(task)).reprioritize(job.priority(), priority);
       }
       job.setPriority(priority);
       changed = true;
@@ -330,32 +329,20 @@
 
   /** Stops all assigned tasks of a job. */
   void stopAll(Job job) {
-    for (int task = 0; task < job.taskCount(); task++) {
-      if (job.isAssigned(task)) {
-        stop(job, task);
-      }
+    for (int task = job.nextAssigned(0); task >= 0; task = job.nextAssigned(task + 1)) {
+      stop(job, task);
     }
     changed = true;
   }
 
   /**
-   * Unassigns and queues again all tasks of a removed job. This needs no evidence that their
-   * attempts have ended, since none of the job's tasks is ever started again.
+   * Unassigns all tasks of a removed or quarantined job, so that they use no resources in the
+   * accounting. This needs no evidence that their attempts have ended, since this leader starts
+   * none of the job's tasks again.
    */
-  void requeueAll(Job job) {
-    for (int task = 0; task < job.taskCount(); task++) {
-      if (job.isAssigned(task)) {
-        unassignAndRequeue(job, task);
-      }
-    }
-  }
-
-  /** Unassigns all tasks of a quarantined job, so that they use no resources in the accounting. */
   void unassignAll(Job job) {
-    for (int task = 0; task < job.taskCount(); task++) {
-      if (job.isAssigned(task)) {
-        unassign(job, task);
-      }
+    for (int task = job.nextAssigned(0); task >= 0; task = job.nextAssigned(task + 1)) {
+      unassign(job, task);
     }
   }
 
@@ -367,17 +354,20 @@
    */
   public void onPlacementRejected(String key) {
     for (Job job : registry.all()) {
-      for (int index = 0; index < job.taskRecords().length; index++) {
-        if (job.taskRecord(index) == null || !job.taskRecord(index).key().equals(key)) {
-          continue;
+      for (Map.Entry<Integer, PendingRecord> record : job.taskRecords().entrySet()) {
+        if (record.getValue().key().equals(key)) {
+          onPlacementRejected(job, record.getKey());
+          return;
         }
-        job.failures.backOff(runtime.now() + REJECTED_RECORD_BACKOFF_MS);
-        for (int task = job.layout().firstTask(index); task < job.layout().endTask(index); task++) {
-          if (job.stateOf(task) == TaskState.PLACING) {
-            release(job, task, new EndEvidence.NeverSent());
-          }
-        }
-        return;
+      }
+    }
+  }
+
+  private void onPlacementRejected(Job job, int record) {
+    job.failures.backOff(runtime.now() + REJECTED_RECORD_BACKOFF_MS);
+    for (int task = job.layout().firstTask(record); task < job.layout().endTask(record); task++) {
+      if (job.stateOf(task) == TaskState.PLACING) {
+        release(job, task, new EndEvidence.NeverSent());
       }
     }
   }
@@ -388,17 +378,12 @@
    */
   public void release(Job job, int task, EndEvidence evidence) {
     if (guard.hasEnded(job, task, evidence)) {
-      unassignAndRequeue(job, task);
+      unassign(job, task);
       changed = true;
       completion.finishIfEnded(job);
     }
   }
 
-  private void unassignAndRequeue(Job job, int task) {
-    unassign(job, task);
-    job.requeue(task);
-  }
-
   private void unassign(Job job, int task) {
     Machine machine = machines.get(job.machineOf(task));
     // A start that is still queued would begin an attempt that the machine was told to forget.
--- a/src/main/java/org/snowturn/core/assignment/TaskRecordLoader.java
+++ b/src/main/java/org/snowturn/core/assignment/TaskRecordLoader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.SortedMap;
 import java.util.function.IntPredicate;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.model.Job;
@@ -54,7 +55,7 @@
    * @param version the version of the stored record
    */
   void loadRecord(Job job, int index, JsonNode value, long version) {
-    if (index < 0 || index >= job.taskRecords().length) {
+    if (index < 0 || index >= job.layout().recordCount()) {
       return;
     }
     assignments.taskRecord(job, index).setVersion(version);
@@ -146,10 +147,9 @@
       if (job.isSecondFormat()) {
         continue;
       }
-      boolean isWriting = job.isFinishing();
-      for (PendingRecord record : job.taskRecords()) {
-        isWriting |= record != null && record.isInFlight();
-      }
+      boolean isWriting =
+          job.isFinishing()
+              || job.taskRecords().values().stream().anyMatch(PendingRecord::isInFlight);
       hasUnmigrated |= isWriting;
       if (!isWriting) {
         useSecondFormat(job);
@@ -159,29 +159,36 @@
   }
 
   private void useSecondFormat(Job job) {
-    PendingRecord[] firstFormatRecords = job.taskRecords();
+    SortedMap<Integer, PendingRecord> firstFormatRecords = job.taskRecords();
     job.useSecondFormat(gate.tasksPerRecord(), gate.limits().maxValueBytes(), machines);
-    for (int index = 0; index < firstFormatRecords.length; index++) {
-      if (firstFormatRecords[index] == null || !firstFormatRecords[index].isQueued()) {
-        continue;
-      }
-      // Actions that waited for the old record now wait for all records that replace it.
-      int urgency = firstFormatRecords[index].urgency();
-      List<Runnable> actions = firstFormatRecords[index].durableActions();
-      writer.cancelWrite(firstFormatRecords[index]);
-      int first = index * job.layout().recordsPerFirstRecord();
-      int end = Math.min(first + job.layout().recordsPerFirstRecord(), job.taskRecords().length);
-      int[] pendingCount = {end - first};
-      for (int record = first; record < end; record++) {
-        writer.enqueue(
-            assignments.taskRecord(job, record),
-            urgency,
-            () -> {
-              if (--pendingCount[0] == 0) {
-                actions.forEach(Runnable::run);
-              }
-            });
-      }
+    firstFormatRecords.forEach(
+        (index, record) -> {
+          if (record.isQueued()) {
+            replaceQueuedRecord(job, index, record);
+          }
+        });
+  }
+
+  /**
+   * Queues the records that replace a queued one of the first format. Actions that waited for the
+   * old record now wait for all of these.
+   */
+  private void replaceQueuedRecord(Job job, int index, PendingRecord replaced) {
+    final int urgency = replaced.urgency();
+    final List<Runnable> actions = replaced.durableActions();
+    writer.cancelWrite(replaced);
+    int first = index * job.layout().recordsPerFirstRecord();
+    int end = Math.min(first + job.layout().recordsPerFirstRecord(), job.layout().recordCount());
+    int[] pendingCount = {end - first};
+    for (int record = first; record < end; record++) {
+      writer.enqueue(
+          assignments.taskRecord(job, record),
+          urgency,
+          () -> {
+            if (--pendingCount[0] == 0) {
+              actions.forEach(Runnable::run);
+            }
+          });
     }
   }
 }
--- a/src/main/java/org/snowturn/core/leader/StoredRecordsLoader.java
+++ b/src/main/java/org/snowturn/core/leader/StoredRecordsLoader.java
@@ -214,11 +214,9 @@
 
   private int stopTasks(Job job) {
     int stopped = 0;
-    for (int task = 0; job.isCancelled() && job.assigned() > 0 && task < job.taskCount(); task++) {
-      if (job.isAssigned(task)) {
-        assignments.stop(job, task);
-        stopped++;
-      }
+    for (int task = job.nextAssigned(0); task >= 0; task = job.nextAssigned(task + 1)) {
+      assignments.stop(job, task);
+      stopped++;
     }
     return stopped;
   }
--- a/src/main/java/org/snowturn/core/model/Job.java
+++ b/src/main/java/org/snowturn/core/model/Job.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.BitSet;
+import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SortedMap;
 import org.agrona.collections.Int2IntHashMap;
 import org.snowturn.core.MonotonicTime;
 import org.snowturn.core.storage.JobRecord;
@@ -16,8 +18,8 @@
 import org.snowturn.wire.Priority;
 
 /**
- * A live job as the leader sees it. The state of its tasks is kept in dense arrays, so that a job
- * may have 100,000 tasks.
+ * A live job as the leader sees it. Its memory grows with its assigned tasks, so that thousands of
+ * jobs with 100,000 tasks each may wait.
  *
  * <p>A task is assigned while it may be on a machine: from before its placement is written until
  * there is proof that its attempt has ended. Wall-clock times ({@code ...WallMs}) are milliseconds
@@ -159,10 +161,8 @@
   public void useSecondFormat(
       TasksPerRecord recordSizes, int maxValueBytes, MachineIndex machines) {
     records.useSecondFormat(recordSizes, maxValueBytes);
-    for (int task = 0; task < tasks.size(); task++) {
-      if (isAssigned(task)) {
-        records.adjustSize(task, machines.get(tasks.machine(task)), 1);
-      }
+    for (int task = nextAssigned(0); task >= 0; task = nextAssigned(task + 1)) {
+      records.adjustSize(task, machines.get(tasks.machine(task)), 1);
     }
   }
 
@@ -186,7 +186,7 @@
     return ((long) job << 32) | task;
   }
 
-  /** Sets a task's state and updates the count of running tasks. */
+  /** Sets the state of an assigned task. */
   public void setState(int task, TaskState next) {
     tasks.setState(task, next);
   }
@@ -207,7 +207,7 @@
     records.adjustSize(task, machine, 1);
   }
 
-  /** Removes a task from its machine. {@link #requeue} or {@link #complete} must follow. */
+  /** Removes a task from its machine and makes it pending again. */
   public void unassign(int task, Machine machine) {
     tasks.unassign(task);
     assignedInZone[machine.zone()]--;
@@ -216,14 +216,10 @@
     stopping.clear(task);
   }
 
-  /** Makes an unassigned task pending again. */
-  public void requeue(int task) {
-    tasks.requeue(task);
-  }
-
-  /** Marks a pending or unassigned task as done. */
+  /** Marks a pending task as done. */
   public void complete(int task) {
     tasks.complete(task);
+    failures.forgetTask(task);
   }
 
   /** Counts an assigned task in another zone, after its machine's zone has become known. */
@@ -270,17 +266,17 @@
     if (tasks.pending() == 0) {
       return -1;
     }
-    for (int i = 0; i < tasks.size(); i++) {
-      int task =
-          nextPendingHint + i < tasks.size()
-              ? nextPendingHint + i
-              : nextPendingHint + i - tasks.size();
-      if (stateOf(task) == TaskState.PENDING && records.hasSpaceForAssignment(task)) {
-        nextPendingHint = task;
-        return task;
-      }
-    }
-    return -1;
+    int task = tasks.nextPending(nextPendingHint, records::skipFullRecord);
+    nextPendingHint = task >= 0 ? task : nextPendingHint;
+    return task;
+  }
+
+  /**
+   * Returns the first assigned task from this one on; -1 if there is none. The cost of visiting all
+   * assigned tasks hardly grows with the number of other tasks.
+   */
+  public int nextAssigned(int from) {
+    return tasks.nextAssigned(from);
   }
 
   /** Returns the median run time of finished tasks in seconds; NaN if there are none. */
@@ -350,12 +346,15 @@
     return tasks.machine(task);
   }
 
-  /** Returns the number of the task's last attempt. */
+  /** Returns the number of the task's attempt; 0 if the task is unassigned. */
   public long attemptOf(int task) {
     return tasks.attempt(task);
   }
 
-  /** Returns the epoch of the machine's agent under which the task was assigned. */
+  /**
+   * Returns the epoch of the machine's agent under which the task was assigned; 0 if the task is
+   * unassigned.
+   */
   public long epochOf(int task) {
     return tasks.epoch(task);
   }
@@ -365,7 +364,9 @@
     return tasks.runningSince(task);
   }
 
-  /** Sets the time since which the task is running; {@link MonotonicTime#UNSET} if unknown. */
+  /**
+   * Sets the time since which an assigned task is running; {@link MonotonicTime#UNSET} if unknown.
+   */
   public void setRunningSince(int task, long since) {
     tasks.setRunningSince(task, since);
   }
@@ -382,17 +383,17 @@
 
   /** Returns one of the task records; null if it does not exist yet. */
   public PendingRecord taskRecord(int index) {
-    return records.records()[index];
+    return records.records().get(index);
   }
 
   /** Sets one of the task records. */
   public void setTaskRecord(int index, PendingRecord record) {
-    records.records()[index] = record;
+    records.records().put(index, record);
   }
 
-  /** Returns all task records, null where there is none yet. Callers must not change the array. */
-  public PendingRecord[] taskRecords() {
-    return records.records();
+  /** Returns the task records that have been used, by index. */
+  public SortedMap<Integer, PendingRecord> taskRecords() {
+    return Collections.unmodifiableSortedMap(records.records());
   }
 
   /** Returns the records of the first format that a job of the second format still has. */
--- a/src/main/java/org/snowturn/core/model/JobFailures.java
+++ b/src/main/java/org/snowturn/core/model/JobFailures.java
@@ -94,6 +94,11 @@
     return excludedMachine.get(task);
   }
 
+  /** Drops the exclusion of a task that is done. */
+  void forgetTask(int task) {
+    excludedMachine.remove(task);
+  }
+
   /** Returns whether a task of the job has failed recently on the machine with this index. */
   public boolean hasFailedOn(int machine) {
     return failedOn.contains(machine);
--- a/src/main/java/org/snowturn/core/model/JobTaskRecords.java
+++ b/src/main/java/org/snowturn/core/model/JobTaskRecords.java
@@ -1,9 +1,10 @@
 package org.snowturn.core.model;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
-import java.util.Objects;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.agrona.collections.Int2IntHashMap;
 import org.snowturn.core.storage.PendingRecord;
 import org.snowturn.core.storage.TaskLayout;
 import org.snowturn.core.storage.TasksPerRecord;
@@ -11,19 +12,21 @@
 /**
  * The stored records of a job's tasks: which tasks share a record, and how much of it their
  * assignments take. A job starts in one of the two formats and may change from the first to the
- * second.
+ * second. Memory grows with the records that are used, not with the tasks of the job.
  */
 final class JobTaskRecords {
   private final int taskCount;
   private TaskLayout layout;
   private boolean secondFormat;
-  private PendingRecord[] records;
+
+  /** The records by index, without those that were never used. */
+  private SortedMap<Integer, PendingRecord> records = new TreeMap<>();
 
   /** Records of the first format that a job of the second format still has. */
   private final List<PendingRecord> firstFormatRecords = new ArrayList<>();
 
-  /** Bytes that the assignments in each record take; second format only. */
-  private int[] usedBytes;
+  /** Bytes that the assignments in each record take, by the record's index; second format only. */
+  private final Int2IntHashMap usedBytes = new Int2IntHashMap(0);
 
   /** Maximum number of bytes that the assignments in a record may take. */
   private int maxBytes = Integer.MAX_VALUE;
@@ -37,7 +40,6 @@
 
   void useFirstFormat(int tasksPerRecord) {
     layout = TaskLayout.firstFormat(taskCount, tasksPerRecord);
-    records = new PendingRecord[layout.recordCount()];
   }
 
   /**
@@ -45,13 +47,10 @@
    * assignments with {@link #adjustSize}.
    */
   void useSecondFormat(TasksPerRecord recordSizes, int maxValueBytes) {
-    if (records != null) {
-      Arrays.stream(records).filter(Objects::nonNull).forEach(firstFormatRecords::add);
-    }
+    firstFormatRecords.addAll(records.values());
     secondFormat = true;
     layout = TaskLayout.secondFormat(taskCount, recordSizes);
-    records = new PendingRecord[layout.recordCount()];
-    usedBytes = new int[layout.recordCount()];
+    records = new TreeMap<>();
     maxBytes = TaskLayout.entryCapacityBytes(maxValueBytes, layout.maxTasksPerRecord());
   }
 
@@ -65,13 +64,28 @@
     if (secondFormat) {
       int entryBytes = TaskRecords.maxEntryBytes(machine);
       maxEntryBytes = Math.max(maxEntryBytes, entryBytes);
-      usedBytes[layout.recordOf(task)] += sign * entryBytes;
+      int record = layout.recordOf(task);
+      int bytes = usedBytes.get(record) + sign * entryBytes;
+      if (bytes == usedBytes.missingValue()) {
+        usedBytes.remove(record);
+      } else {
+        usedBytes.put(record, bytes);
+      }
     }
   }
 
   /** Returns whether the task's record has space for one more assignment. */
-  boolean hasSpaceForAssignment(int task) {
-    return !secondFormat || usedBytes[layout.recordOf(task)] + maxEntryBytes <= maxBytes;
+  private boolean hasSpaceForAssignment(int record) {
+    return !secondFormat || usedBytes.get(record) + maxEntryBytes <= maxBytes;
+  }
+
+  /**
+   * Returns the task itself if its record has space for one more assignment, else the first task of
+   * the next record.
+   */
+  int skipFullRecord(int task) {
+    int record = layout.recordOf(task);
+    return hasSpaceForAssignment(record) ? task : layout.endTask(record);
   }
 
   TaskLayout layout() {
@@ -82,7 +96,8 @@
     return secondFormat;
   }
 
-  PendingRecord[] records() {
+  /** Returns the records that are used, by index. */
+  SortedMap<Integer, PendingRecord> records() {
     return records;
   }
 
--- a/src/main/java/org/snowturn/core/model/TaskStateCounts.java
+++ b/src/main/java/org/snowturn/core/model/TaskStateCounts.java
@@ -4,9 +4,9 @@
 public final class TaskStateCounts {
   private final int[] counts = new int[TaskState.values().length];
 
-  /** Counts one task in this state. */
-  void add(TaskState state) {
-    counts[state.code()]++;
+  /** Counts tasks in this state. */
+  void add(TaskState state, int tasks) {
+    counts[state.code()] += tasks;
   }
 
   /** Returns the number of counted tasks in this state. */
--- a/src/main/java/org/snowturn/core/scheduling/Speculator.java
+++ b/src/main/java/org/snowturn/core/scheduling/Speculator.java
@@ -247,7 +247,7 @@
   private void addStragglers(Job job, List<Straggler> stragglers) {
     DoubleSamples rates = null;
     int maxRecordBytes = gate.limits().maxValueBytes();
-    for (int task = 0; task < job.taskCount(); task++) {
+    for (int task = job.nextAssigned(0); task >= 0; task = job.nextAssigned(task + 1)) {
       if (!isRunning(job, task)
           || job.restarted.get(task)
           || job.stopping.get(task)
@@ -272,7 +272,7 @@
     for (int i = 0; i < job.runTimes.size(); i++) {
       rates.add(1 / Math.max(MIN_RUN_S, job.runTimes.get(i)));
     }
-    for (int task = 0; task < job.taskCount(); task++) {
+    for (int task = job.nextAssigned(0); task >= 0; task = job.nextAssigned(task + 1)) {
       if (isRunning(job, task)) {
         double expectedS = expectedS(job, machines.get(job.machineOf(task)));
         rates.add(progressRate(runS(job, task), expectedS));
