Stored jobs are parsed page by page, without keeping their values

Cause: the reader of ranges kept the parsed JSON of every job until the last range had been read, on the leader and, for its cache, on every node. The JSON takes several times the memory of what is kept of it. Such a read is the moment at which a controller needs most, and every one after an end for memory makes it.

Change: RangeReader.readPages hands over each page; the leader keeps parsed records (StoredJob), the cache its entries. What is loaded, in which order, and what becomes of unreadable records are as before.

--- a/src/main/java/org/snowturn/core/api/LiveJobCache.java
+++ b/src/main/java/org/snowturn/core/api/LiveJobCache.java
@@ -231,13 +231,17 @@
   private void load() {
     loads++;
     long sentAt = runtime.now();
+    jobs.clear();
     new RangeReader(runtime, RequestClass.PROOFS, () -> false)
-        .read(
+        .readPages(
             StorageKeys.JOBS,
-            range -> {
+            page -> {
+              jobs.addPage(page);
+              page.forEach(this::notifyIfCancelled);
+            },
+            oldestRevision -> {
               isRequestOpen = false;
-              jobs.load(range.entries(), range.oldestRevision());
-              range.entries().forEach(this::notifyIfCancelled);
+              jobs.completeLoad(oldestRevision);
               listener.onUpToDate(sentAt);
               backoff.reset();
               nextRequestAt = runtime.now();
--- a/src/main/java/org/snowturn/core/leader/LeaderRecovery.java
+++ b/src/main/java/org/snowturn/core/leader/LeaderRecovery.java
@@ -89,7 +89,7 @@
   }
 
   private void load(StoredRecords records, Consumer<Map<Machine, Heartbeat>> onLoaded) {
-    jobWatchRevision = records.jobs().oldestRevision();
+    jobWatchRevision = records.jobsRevision();
     loader.load(records);
     enter(RecoveryPhase.PROBING);
     runtime
--- a/src/main/java/org/snowturn/core/leader/StoredRecords.java
+++ b/src/main/java/org/snowturn/core/leader/StoredRecords.java
@@ -1,5 +1,6 @@
 package org.snowturn.core.leader;
 
+import java.util.List;
 import org.snowturn.core.storage.RangeReader.Range;
 
 /**
@@ -11,7 +12,8 @@
  * @param restartRecords the counters of the speculative restarts of jobs
  * @param submissionChunks the chunks of long submissions, which are read before the jobs so that no
  *     accepted job lacks its chunks
- * @param jobs the job records
+ * @param jobs the job records, parsed
+ * @param jobsRevision the revision of the state service from which on the jobs may have changed
  * @param jobsReadAt the time at which the read of the jobs was sent, in milliseconds of the
  *     monotonic clock
  */
@@ -21,5 +23,6 @@
     Range firstFormatTasks,
     Range restartRecords,
     Range submissionChunks,
-    Range jobs,
+    List<StoredJob> jobs,
+    long jobsRevision,
     long jobsReadAt) {}
--- a/src/main/java/org/snowturn/core/leader/StoredRecordsLoader.java
+++ b/src/main/java/org/snowturn/core/leader/StoredRecordsLoader.java
@@ -67,7 +67,7 @@
   /** Loads all records and sends stop commands for the tasks of cancelled jobs. */
   void load(StoredRecords records) {
     for (StateMessage.Entry entry : records.registryPages().entries()) {
-      if (!tryLoad(entry, () -> services.registry().load(entry, this::initializeMachine))) {
+      if (!tryLoad(entry.key(), () -> services.registry().load(entry, this::initializeMachine))) {
         assignments.markRegistryIncomplete();
       }
     }
@@ -78,7 +78,7 @@
     quarantinedJobs.forEach(assignments.registry()::quarantine);
     for (StateMessage.Entry entry : records.restartRecords().entries()) {
       String job = entry.key().substring(StorageKeys.RESTARTS.length());
-      tryLoad(entry, () -> onRestartRecord.accept(job, entry));
+      tryLoad(entry.key(), () -> onRestartRecord.accept(job, entry));
     }
     services.writer().deleteLater(List.of(), orphans);
     raiseAgentEpochs();
@@ -87,7 +87,7 @@
   }
 
   /** Runs the parser of a record; logs and counts the record if it is unreadable. */
-  private boolean tryLoad(StateMessage.Entry entry, RecordParser parser) {
+  private boolean tryLoad(String key, RecordParser parser) {
     try {
       parser.parse();
       return true;
@@ -96,7 +96,7 @@
       runtime
           .events()
           .info(LogEvent.RECORD_UNREADABLE)
-          .with(LogField.KEY, entry.key())
+          .with(LogField.KEY, key)
           .with(LogField.ERROR, e.getMessage())
           .write();
       return false;
@@ -122,13 +122,13 @@
     List<StateMessage.Entry> chunks = records.submissionChunks().entries();
     Map<String, String> chunkTexts = JobRecord.chunkTexts(chunks);
     Set<String> usedChunkKeys = new HashSet<>();
-    for (StateMessage.Entry entry : records.jobs().entries()) {
-      String id = entry.key().substring(StorageKeys.JOBS.length());
-      boolean isAborted = JobRecord.phaseOf(entry.value()) == JobStatus.Phase.ABORTED;
+    for (StoredJob job : records.jobs()) {
+      String id = job.id();
+      boolean isAborted = job.phase() == JobStatus.Phase.ABORTED;
       if (isAborted) {
         watermark.learn(id);
       }
-      boolean isLoaded = tryLoad(entry, () -> loadJob(id, entry, chunkTexts, usedChunkKeys));
+      boolean isLoaded = tryLoad(job.key(), () -> loadJob(job, chunkTexts, usedChunkKeys));
       if (!isLoaded && !isAborted) {
         quarantinedJobs.add(id);
         String prefix = StorageKeys.SUBMISSION_CHUNKS + id + "/";
@@ -141,19 +141,16 @@
     new SubmissionChunks(runtime, services.writer()).deleteUnused(chunks, usedChunkKeys);
   }
 
-  private void loadJob(
-      String id,
-      StateMessage.Entry entry,
-      Map<String, String> chunkTexts,
-      Set<String> usedChunkKeys)
+  private void loadJob(StoredJob job, Map<String, String> chunkTexts, Set<String> usedChunkKeys)
       throws MalformedException {
-    JobRecord stored = JobRecord.parse(entry.value());
+    JobRecord stored = job.readableContent();
+    String id = job.id();
     List<String> chunkKeys = JobRecord.chunkKeys(id, stored.submissionHash(), stored.chunkCount());
     usedChunkKeys.addAll(chunkKeys);
     if (stored.needsChunks() && chunkTexts.keySet().containsAll(chunkKeys)) {
-      assignments.registry().addChunked(id, stored, entry.version(), chunkTexts);
+      assignments.registry().addChunked(id, stored, job.version(), chunkTexts);
     } else {
-      assignments.registry().add(id, stored, entry.version());
+      assignments.registry().add(id, stored, job.version());
     }
   }
 
@@ -170,7 +167,7 @@
       Job job = assignments.job(id);
       boolean isLoaded =
           tryLoad(
-              entry,
+              entry.key(),
               () -> {
                 int chunk = Integer.parseInt(keySuffix.substring(slash + 1));
                 if (job == null) {
--- a/src/main/java/org/snowturn/core/leader/StoredRecordsReader.java
+++ b/src/main/java/org/snowturn/core/leader/StoredRecordsReader.java
@@ -1,6 +1,8 @@
 package org.snowturn.core.leader;
 
-import java.util.LinkedHashMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.snowturn.core.effects.CoreRuntime;
@@ -24,11 +26,16 @@
   private final Term term;
   private final Consumer<StoredRecords> onComplete;
 
-  /** Ranges by key prefix; null for a range that is still being read. */
-  private final Map<String, Range> ranges = new LinkedHashMap<>();
+  /** Ranges that have been read, by key prefix. */
+  private final Map<String, Range> ranges = new HashMap<>();
 
+  private List<StoredJob> jobs = new ArrayList<>();
+  private long jobsRevision;
   private long jobsReadAt;
 
+  /** Number of ranges that are still being read. */
+  private int openReads;
+
   /**
    * Creates a reader for one term.
    *
@@ -60,36 +67,57 @@
         StorageKeys.SUBMISSION_CHUNKS,
         () -> {
           jobsReadAt = runtime.now();
-          read(StorageKeys.JOBS, () -> {});
+          readJobs();
         });
   }
 
   private void read(String prefix, Runnable onRead) {
-    ranges.put(prefix, null);
+    openReads++;
     long sentAt = runtime.now();
     new RangeReader(runtime, term::hasEnded)
         .read(
             prefix,
             range -> {
-              if (term.hasEnded()) {
-                return;
+              if (!term.hasEnded()) {
+                log(prefix, range.oldestRevision(), range.entries().size(), sentAt);
+                ranges.put(prefix, range);
+                onRead.run();
+                endRead();
               }
-              log(prefix, range, sentAt);
-              ranges.put(prefix, range);
-              onRead.run();
-              if (!ranges.containsValue(null)) {
-                complete();
+            });
+  }
+
+  /** Reads the jobs, of which there may be thousands, and parses them page by page. */
+  private void readJobs() {
+    openReads++;
+    long sentAt = runtime.now();
+    new RangeReader(runtime, term::hasEnded)
+        .readPages(
+            StorageKeys.JOBS,
+            page -> page.forEach(entry -> jobs.add(StoredJob.parse(entry))),
+            oldestRevision -> {
+              if (!term.hasEnded()) {
+                log(StorageKeys.JOBS, oldestRevision, jobs.size(), sentAt);
+                jobsRevision = oldestRevision;
+                endRead();
               }
             });
   }
 
-  private void log(String prefix, Range range, long sentAt) {
+  private void endRead() {
+    openReads--;
+    if (openReads == 0) {
+      complete();
+    }
+  }
+
+  private void log(String prefix, long revision, int records, long sentAt) {
     runtime
         .events()
         .info(LogEvent.RECORDS_READ)
         .with(LogField.PREFIX, prefix)
-        .with(LogField.REVISION, range.oldestRevision())
-        .with(LogField.RECORDS, range.entries().size())
+        .with(LogField.REVISION, revision)
+        .with(LogField.RECORDS, records)
         .with(LogField.TOOK_MS, runtime.now() - sentAt)
         .write();
   }
@@ -102,9 +130,11 @@
             ranges.get(StorageKeys.FIRST_FORMAT_TASKS),
             ranges.get(StorageKeys.RESTARTS),
             ranges.get(StorageKeys.SUBMISSION_CHUNKS),
-            ranges.get(StorageKeys.JOBS),
+            jobs,
+            jobsRevision,
             jobsReadAt);
     ranges.clear();
+    jobs = new ArrayList<>();
     onComplete.accept(records);
   }
 }
--- a/src/main/java/org/snowturn/core/model/LiveJobs.java
+++ b/src/main/java/org/snowturn/core/model/LiveJobs.java
@@ -70,7 +70,21 @@
    */
   public void load(List<StateMessage.Entry> entries, long oldestRevision) {
     clear();
+    addPage(entries);
+    completeLoad(oldestRevision);
+  }
+
+  /** Adds a page of a range read to the empty cache, which is not loaded before the last page. */
+  public void addPage(List<StateMessage.Entry> entries) {
     entries.forEach(this::apply);
+  }
+
+  /**
+   * Completes a load after the last page.
+   *
+   * @param oldestRevision the revision of the oldest page
+   */
+  public void completeLoad(long oldestRevision) {
     revision = oldestRevision;
   }
 
--- a/src/main/java/org/snowturn/core/storage/RangeReader.java
+++ b/src/main/java/org/snowturn/core/storage/RangeReader.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.snowturn.core.admission.RequestClass;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.effects.LogEvent;
@@ -63,15 +64,33 @@
    * @param onRange called once all pages have been read
    */
   public void read(String prefix, Consumer<Range> onRange) {
-    readPage(prefix, null, new ArrayList<>(), Long.MAX_VALUE, onRange);
+    List<StateMessage.Entry> entries = new ArrayList<>();
+    readPages(
+        prefix,
+        entries::addAll,
+        oldestRevision -> onRange.accept(new Range(entries, oldestRevision)));
   }
 
-  private void readPage(
-      String prefix,
-      String after,
-      List<StateMessage.Entry> entries,
-      long oldestRevision,
-      Consumer<Range> onRange) {
+  /**
+   * Reads all keys with a prefix without keeping them: the parsed values take several times the
+   * memory of what callers need of them.
+   *
+   * @param prefix the common prefix of the keys
+   * @param onPage called with the keys of each page, in order
+   * @param onComplete called after the last page with the oldest revision of the state service
+   *     among the pages
+   */
+  public void readPages(
+      String prefix, Consumer<List<StateMessage.Entry>> onPage, LongConsumer onComplete) {
+    readPage(new PagedRead(prefix, onPage, onComplete), null, Long.MAX_VALUE);
+  }
+
+  /** What a caller has asked to read. */
+  private record PagedRead(
+      String prefix, Consumer<List<StateMessage.Entry>> onPage, LongConsumer onComplete) {}
+
+  private void readPage(PagedRead read, String after, long oldestRevision) {
+    String prefix = read.prefix;
     StateMessage.RangePath path = new StateMessage.RangePath(prefix).limit(PAGE_KEYS);
     if (after != null) {
       path.after(after);
@@ -83,7 +102,7 @@
         reply -> {
           if (reply.isOk()) {
             try {
-              onPage(prefix, reply.body(), entries, oldestRevision, onRange);
+              onPage(read, reply.body(), oldestRevision);
               return;
             } catch (MalformedException e) {
               runtime
@@ -95,26 +114,21 @@
             }
           }
           if (!shouldStop.getAsBoolean()) {
-            runtime.retry(backoff, () -> readPage(prefix, after, entries, oldestRevision, onRange));
+            runtime.retry(backoff, () -> readPage(read, after, oldestRevision));
           }
         });
   }
 
-  private void onPage(
-      String prefix,
-      JsonNode body,
-      List<StateMessage.Entry> entries,
-      long oldestRevision,
-      Consumer<Range> onRange)
+  private void onPage(PagedRead read, JsonNode body, long oldestRevision)
       throws MalformedException {
     List<StateMessage.Entry> page = StateMessage.entries(body);
     long newOldestRevision = Math.min(oldestRevision, StateMessage.revision(body));
     backoff.reset();
-    entries.addAll(page);
+    read.onPage.accept(page);
     if (StateMessage.isTruncated(body) && !page.isEmpty()) {
-      readPage(prefix, page.get(page.size() - 1).key(), entries, newOldestRevision, onRange);
+      readPage(read, page.get(page.size() - 1).key(), newOldestRevision);
     } else {
-      onRange.accept(new Range(entries, newOldestRevision));
+      read.onComplete.accept(newOldestRevision);
     }
   }
 }
