Soak runs submit arrays of the largest size, with the deploy file's heap

Soak runs have processes with a heap of their own, but had only small jobs.

Change: a fault "large-arrays" of soak plans: users submit arrays of 100,000 tasks and cancel them later. One seed in four draws 8 to 64 of them; the other faults of each seed are as before.

--- a/src/test/java/org/snowturn/testbench/SoakRunTest.java
+++ b/src/test/java/org/snowturn/testbench/SoakRunTest.java
@@ -32,7 +32,15 @@
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     String classPath = System.getProperty("java.class.path");
     return List.of(
-        java, "-Xmx80m", "-XX:TieredStopAtLevel=1", "-cp", classPath, mainClass, "--config");
+        java,
+        "-Xmx80m",
+        "-XX:+UseSerialGC",
+        "-XX:+ExitOnOutOfMemoryError",
+        "-XX:TieredStopAtLevel=1",
+        "-cp",
+        classPath,
+        mainClass,
+        "--config");
   }
 
   private SoakRun run(SoakPlan plan, String mainClass) {
@@ -63,6 +71,16 @@
     assertEquals(List.of(), run(plan, "org.snowturn.daemon.Main").play().details());
   }
 
+  /**
+   * Guards against controllers that end for memory, one leader after the other, when many arrays of
+   * the largest size are accepted (docs/incidents/arrays-fill-the-heap.md).
+   */
+  @Test
+  void acceptedArraysOfTheLargestSizeEndNoController() throws Exception {
+    SoakPlan plan = SoakPlan.read(Path.of("src/test/resources/soak/large-arrays.txt"));
+    assertEquals(List.of(), run(plan, "org.snowturn.daemon.Main").play().details());
+  }
+
   @Test
   void aControllerThatDoesNotStartIsNamedAndNothingIsLeftRunning() {
     SoakRun run = run(SoakPlan.generate(1, WORKERS, DURATION_S), "org.snowturn.daemon.NoSuchMain");
--- a/src/testbench/java/org/snowturn/simulation/LoopbackFaults.java
+++ b/src/testbench/java/org/snowturn/simulation/LoopbackFaults.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
+import org.snowturn.config.Settings;
+import org.snowturn.wire.JobSpec;
 
 /**
  * Faults of a loopback cluster's network, state service and machines. The methods may be called
@@ -13,9 +16,18 @@
   /** Name that stands for all machines as one end of a cut. */
   public static final String WORKERS = SimulatedCluster.ALL_WORKERS;
 
+  /** Number of tasks of the largest array that a user may submit. */
+  private static final int LARGEST_ARRAY = 100_000;
+
+  private static final int LARGE_ARRAY_RUN_MS = 3_000;
+
+  /** Number of the first large array's id, above those of other jobs. */
+  private static final int FIRST_LARGE_ARRAY = 700_000;
+
   private final SimulatedCluster cluster;
   private final RealTimeDriver driver;
   private final DirectedLinks links;
+  private int largeArrays;
 
   /** Creates the faults of a cluster; they are applied on the thread of the driver. */
   LoopbackFaults(SimulatedCluster cluster, RealTimeDriver driver, DirectedLinks links) {
@@ -120,6 +132,34 @@
         });
   }
 
+  /** Submits {@code count} arrays of the largest size, and cancels them later. */
+  public void submitLargeArrays(int count, long cancelAfterMs) {
+    driver.post(
+        () -> {
+          for (int i = 0; i < count; i++) {
+            submitLargeArray(cancelAfterMs);
+          }
+        });
+  }
+
+  private void submitLargeArray(long cancelAfterMs) {
+    String id = SimulatedJobs.id(FIRST_LARGE_ARRAY + largeArrays++);
+    List<Settings.Team> teams = cluster.settings[0].teams();
+    Map<String, String> options =
+        Map.of(
+            "tasks",
+            "" + LARGEST_ARRAY,
+            "cpus",
+            "1",
+            "rank",
+            "low",
+            "team",
+            teams.get(cluster.random.nextInt(teams.size())).name());
+    JobSpec spec = SimulatedJobs.spec(id, "batch", options);
+    cluster.clients.submit(spec, LARGE_ARRAY_RUN_MS, Map.of());
+    cluster.after(cancelAfterMs, () -> cluster.clients.cancel(id));
+  }
+
   /** Cancels {@code count} running jobs within 200 ms. */
   public void cancelJobs(int count) {
     driver.post(() -> cluster.clients.cancelRunningJobs(count, 0));
--- a/src/testbench/java/org/snowturn/testbench/FaultInjector.java
+++ b/src/testbench/java/org/snowturn/testbench/FaultInjector.java
@@ -119,6 +119,7 @@
       case TAKE_WORKERS -> faults.reclaimWorkers((int) fault.amount());
       case SICK_WORKERS -> faults.failTasksOnWorkers((int) fault.amount(), fault.durationMs());
       case CANCEL_JOBS -> faults.cancelJobs((int) fault.amount());
+      case LARGE_ARRAYS -> faults.submitLargeArrays((int) fault.amount(), fault.durationMs());
       default -> throw new IllegalStateException("no injection defined for " + fault);
     }
   }
--- a/src/testbench/java/org/snowturn/testbench/SoakFault.java
+++ b/src/testbench/java/org/snowturn/testbench/SoakFault.java
@@ -67,7 +67,12 @@
     /** Workers fail every task that starts on them; the amount is their number. */
     SICK_WORKERS,
     /** Users cancel running jobs; the amount is their number. */
-    CANCEL_JOBS;
+    CANCEL_JOBS,
+    /**
+     * Users submit arrays of the largest size and cancel them after the duration; the amount is
+     * their number.
+     */
+    LARGE_ARRAYS;
 
     /** Returns whether a plan names the controllers that a fault of this kind happens to. */
     boolean isControllerFault() {
--- a/src/testbench/java/org/snowturn/testbench/SoakPlan.java
+++ b/src/testbench/java/org/snowturn/testbench/SoakPlan.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
@@ -24,7 +25,15 @@
  * @param faults the faults in the order of their times
  */
 record SoakPlan(long seed, int workers, int durationS, List<SoakFault> faults) {
-  private static final List<Kind> KINDS = List.of(Kind.values());
+  /** The kinds that each fault of a plan is drawn from. */
+  private static final List<Kind> KINDS =
+      Arrays.stream(Kind.values()).filter(kind -> kind != Kind.LARGE_ARRAYS).toList();
+
+  /** On average one of this number of seeds adds large arrays to the drawn faults. */
+  private static final int LARGE_ARRAYS_ONE_IN = 4;
+
+  private static final int MIN_LARGE_ARRAYS = 8;
+  private static final int MAX_LARGE_ARRAYS = 64;
 
   /** Maximum number of workers in a plan. */
   static final int MAX_WORKERS = 2_000;
@@ -109,10 +118,23 @@
       atMs = Math.min(atMs, durationS * MS_PER_S);
       faults.add(randomFault(random, atMs, size));
     }
+    if (random.nextInt(LARGE_ARRAYS_ONE_IN) == 0) {
+      faults.add(randomLargeArrays(random, durationS * MS_PER_S));
+    }
     faults.sort(Comparator.comparingLong(SoakFault::atMs));
     return new SoakPlan(seed, size, durationS, List.copyOf(faults));
   }
 
+  /** Returns large arrays that are submitted early, so that most other faults meet them. */
+  private static SoakFault randomLargeArrays(SplittableRandom random, long durationMs) {
+    return new SoakFault(
+        random.nextLong(durationMs / 2),
+        Kind.LARGE_ARRAYS,
+        SoakFault.NO_TARGET,
+        durationMs,
+        random.nextInt(MIN_LARGE_ARRAYS, MAX_LARGE_ARRAYS + 1));
+  }
+
   private static SoakFault randomFault(SplittableRandom random, long atMs, int workers) {
     Kind kind = KINDS.get(random.nextInt(KINDS.size()));
     long durationMs = random.nextLong(500, 12_000);
