--- a/src/main/java/org/snowturn/core/model/JobTaskRecords.java
+++ b/src/main/java/org/snowturn/core/model/JobTaskRecords.java
@@ -74,18 +74,16 @@
     }
   }
 
-  /** Returns whether the task's record has space for one more assignment. */
-  private boolean hasSpaceForAssignment(int record) {
-    return !secondFormat || usedBytes.get(record) + maxEntryBytes <= maxBytes;
-  }
-
   /**
    * Returns the task itself if its record has space for one more assignment, else the first task of
-   * the next record.
+   * the next record. Records of the first format always have space.
    */
   int skipFullRecord(int task) {
+    if (!secondFormat) {
+      return task;
+    }
     int record = layout.recordOf(task);
-    return hasSpaceForAssignment(record) ? task : layout.endTask(record);
+    return usedBytes.get(record) + maxEntryBytes <= maxBytes ? task : layout.endTask(record);
   }
 
   TaskLayout layout() {
