A job keeps at most 2,048 run times of its finished tasks

Related path of the arrays that filled the heap, found by reading, not by a failing run: the leader kept a double for each finished task of a live job, twice while the median was computed, and sorted all of them again after each further result. An array of 100,000 tasks comes to 1.6 MB and a sort of 100,000 numbers a result.

Change: of more samples evenly spaced ones are kept, by dropping every second one when the list is full. Above that a finished task counts for less beside the running ones when the slow quarter is determined.

Lists of machines and rates stay unbounded.

--- a/src/main/java/org/snowturn/core/model/DoubleSamples.java
+++ b/src/main/java/org/snowturn/core/model/DoubleSamples.java
@@ -2,27 +2,67 @@
 
 import java.util.Arrays;
 
-/** A growable list of {@code double} samples, stored without boxing. */
+/**
+ * A growable list of {@code double} samples, stored without boxing. It may be bounded: of more
+ * samples, evenly spaced ones are kept, so that their distribution stays the same.
+ */
 public final class DoubleSamples {
   private static final int INITIAL_CAPACITY = 8;
   private static final double MEDIAN_PERCENTILE = 50;
 
+  private final int maxSize;
   private double[] values = new double[INITIAL_CAPACITY];
   private int size;
 
+  /** One of this number of added samples is kept. */
+  private int stride = 1;
+
+  /** Number of samples that are skipped before the next one is kept. */
+  private int skip;
+
   /** Sorted copy of the samples; null until it is needed after a change. */
   private double[] sorted;
 
+  /** Creates an empty list without a bound. */
+  public DoubleSamples() {
+    this(Integer.MAX_VALUE);
+  }
+
+  /**
+   * Creates an empty list.
+   *
+   * @param maxSize maximum number of samples that are kept; an even number
+   */
+  public DoubleSamples(int maxSize) {
+    this.maxSize = maxSize;
+  }
+
   /** Adds a sample. */
   public void add(double value) {
+    if (skip > 0) {
+      skip--;
+      return;
+    }
+    if (size == maxSize) {
+      dropEverySecond();
+    }
     if (size == values.length) {
-      values = Arrays.copyOf(values, size * 2);
+      values = Arrays.copyOf(values, Math.min(maxSize, size * 2));
     }
     values[size++] = value;
+    skip = stride - 1;
     sorted = null;
   }
 
-  /** Returns the number of samples. */
+  private void dropEverySecond() {
+    size /= 2;
+    for (int i = 0; i < size; i++) {
+      values[i] = values[2 * i];
+    }
+    stride *= 2;
+  }
+
+  /** Returns the number of samples that are kept. */
   public int size() {
     return size;
   }
--- a/src/main/java/org/snowturn/core/model/Job.java
+++ b/src/main/java/org/snowturn/core/model/Job.java
@@ -30,6 +30,9 @@
 
   private static final int MS_PER_S = 1000;
 
+  /** Maximum number of run times that are kept of a job; they are sorted for the median. */
+  private static final int MAX_RUN_TIMES = 2048;
+
   /** The dense index of this job among all jobs of the leader's term. */
   public final int index;
 
@@ -58,7 +61,7 @@
   public final BitSet resultPending = new BitSet();
 
   /** The run times of finished tasks, in seconds. */
-  public final DoubleSamples runTimes = new DoubleSamples();
+  public final DoubleSamples runTimes = new DoubleSamples(MAX_RUN_TIMES);
 
   /** Number of assigned tasks by zone index. */
   private final int[] assignedInZone;
