Submissions beyond what a leader's heap holds get 503

Whatever a job takes, enough accepted jobs fill the heap, and every later leader reads them all.

Cause: nothing counted the memory of live jobs when a job was accepted; the admission counts changes of the state service only.

Change: each node counts the live jobs that its cache shows and what it has admitted since (LiveJobMemory), and refuses a new job with 503 and Retry-After above half of the process's heap. A class of a team may use four times what is left, so no class takes all; a fifth is for classes that use little. A repeated submission of a known job is answered as before. Heap size is read from the process, so it holds for every deployment. Three metrics (snowturn_admission_memory_*), one event (submissions_exceed_memory).

--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.snowturn.config.Settings;
 import org.snowturn.config.Tunables;
+import org.snowturn.core.admission.LiveJobMemory;
 import org.snowturn.core.admission.RateAllocator;
 import org.snowturn.core.api.CancelledJobs;
 import org.snowturn.core.api.JobApi;
@@ -45,6 +46,7 @@
   private final ConnectivityMonitor connectivity;
   private final StateRequestRelay stateRequestRelay;
   private final RateAllocator rateAllocator;
+  private final LiveJobMemory liveJobMemory;
   private final LiveJobCache liveJobs;
   private final CancellationWatermark watermark;
   private Leader leader;
@@ -56,8 +58,10 @@
    * @param incarnation a name that no other process of this node has used
    * @param startedAtMs the time at which this process started, in milliseconds of the monotonic
    *     clock
+   * @param heapBytes the size of the heap, which the live jobs must fit into
    */
-  public Controller(Settings settings, Tunables tunables, String incarnation, long startedAtMs) {
+  public Controller(
+      Settings settings, Tunables tunables, String incarnation, long startedAtMs, long heapBytes) {
     this.settings = settings;
     this.tunables = tunables;
     runtime = new CoreRuntime(incarnation.hashCode());
@@ -71,7 +75,8 @@
     runtime.setStateRequestBudget(rateAllocator.budget());
     watermark = new CancellationWatermark(settings, runtime, incarnation);
     watermark.setListener(this::onCancellation);
-    liveJobs = new LiveJobCache(settings, runtime, liveJobListener());
+    liveJobMemory = new LiveJobMemory(heapBytes);
+    liveJobs = new LiveJobCache(settings, runtime, liveJobListener(), liveJobMemory);
     machineTypes = new MachineTypes(runtime);
     election = new Election(settings, tunables, runtime, watermark, incarnation, startedAtMs);
     formatGate = new FormatGate(settings, runtime);
@@ -89,7 +94,8 @@
             formatGate,
             stateRequestRelay,
             rateAllocator.admissionController(),
-            liveJobs);
+            liveJobs,
+            liveJobMemory);
     jobApi =
         new JobApi(settings, runtime, services, election::isStateServiceHealthy, cancelledJobs());
   }
@@ -207,6 +213,7 @@
     gauges.putAll(connectivity.gauges());
     gauges.putAll(watermark.gauges());
     gauges.putAll(rateAllocator.gauges(runtime.now()));
+    gauges.putAll(liveJobMemory.gauges());
     gauges.put("snowturn.cache.jobs", (double) liveJobs.size());
     gauges.put("snowturn.cache.validations", (double) liveJobs.validations());
     gauges.put("snowturn.cache.reloads", (double) liveJobs.loads());
--- a/src/main/java/org/snowturn/core/api/JobApi.java
+++ b/src/main/java/org/snowturn/core/api/JobApi.java
@@ -4,6 +4,7 @@
 import org.snowturn.config.Settings;
 import org.snowturn.core.PeerMessage;
 import org.snowturn.core.admission.AdmissionController;
+import org.snowturn.core.admission.LiveJobMemory;
 import org.snowturn.core.connectivity.StateRequestRelay;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.model.MachineTypes;
@@ -26,13 +27,15 @@
    * @param relay access to the state service, directly or through a peer
    * @param admission admission control of submissions
    * @param liveJobs cache of the live jobs
+   * @param memory memory that the live jobs take
    */
   public record Services(
       MachineTypes machineTypes,
       FormatGate formatGate,
       StateRequestRelay relay,
       AdmissionController admission,
-      LiveJobCache liveJobs) {}
+      LiveJobCache liveJobs,
+      LiveJobMemory memory) {}
 
   private final JobStatusCache statuses = new JobStatusCache();
   private final JobStatusReader reader;
--- a/src/main/java/org/snowturn/core/api/JobSubmission.java
+++ b/src/main/java/org/snowturn/core/api/JobSubmission.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import org.snowturn.core.admission.RequestClass;
 import org.snowturn.core.effects.CoreRuntime;
+import org.snowturn.core.effects.LogEvent;
+import org.snowturn.core.effects.LogField;
 import org.snowturn.core.storage.JobLookup;
 import org.snowturn.core.storage.JobRecord;
 import org.snowturn.core.storage.StorageKeys;
@@ -31,12 +33,15 @@
    */
   private static final long DEPENDENCY_LOOKUP_TIMEOUT_MS = 3_500;
 
+  private static final long MEMORY_LOG_INTERVAL_MS = 10_000;
+
   private final CoreRuntime runtime;
   private final JobApi.Services services;
   private final SubmissionValidator validator;
   private final JobStatusCache statuses;
   private final JobStatusReader reader;
   private final UserResponses responses;
+  private long nextMemoryLogAt;
 
   JobSubmission(
       CoreRuntime runtime,
@@ -142,23 +147,55 @@
   }
 
   private void admitAndWrite(long exchange, JobSpec spec) {
-    String group = spec.jobClass() + "/" + spec.team();
-    if (!services.admission().tryAdmit(group, 1, runtime.now())) {
-      refuseUnlessKnown(exchange, spec);
-      return;
-    }
     JobRecord job = new JobRecord(JobStatus.Phase.QUEUED, runtime.wallMs(), spec);
     int maxBytes = services.formatGate().limits().maxValueBytes();
     ObjectNode record = job.liveJson();
     if (!services.formatGate().isOpen() || Json.bytes(record).length <= maxBytes) {
-      writeRecord(exchange, spec, record, List.of());
+      if (admit(exchange, spec, record)) {
+        writeRecord(exchange, spec, record, List.of());
+      }
       return;
     }
     String text = Json.text(spec.toJson());
     List<ObjectNode> chunks = JobRecord.split(text, maxBytes);
     JobRecord chunked = job.toChunked(JobRecord.hashSubmission(text, maxBytes), chunks.size());
-    new ChunkedSubmission(runtime, services, spec, chunked, chunks, chunkListener(exchange, spec))
-        .start();
+    if (admit(exchange, spec, chunked.liveJson())) {
+      new ChunkedSubmission(runtime, services, spec, chunked, chunks, chunkListener(exchange, spec))
+          .start();
+    }
+  }
+
+  /** Returns whether the job may be written now; refuses the submission if not. */
+  private boolean admit(long exchange, JobSpec spec, ObjectNode record) {
+    boolean isAdmitted =
+        services.admission().tryAdmit(spec.jobClass() + "/" + spec.team(), 1, runtime.now())
+            && hasMemory(spec, record);
+    if (!isAdmitted) {
+      refuseUnlessKnown(exchange, spec);
+    }
+    return isAdmitted;
+  }
+
+  /**
+   * Returns whether a leader has memory for the job. Shortage is logged at intervals, as it lasts.
+   */
+  private boolean hasMemory(JobSpec spec, ObjectNode record) {
+    long textBytes =
+        JobRecord.submissionBytes(record, services.formatGate().limits().maxValueBytes());
+    String group = JobRecord.group(record);
+    if (services.memory().tryReserve(spec.id(), group, textBytes, runtime.now())) {
+      return true;
+    }
+    if (runtime.now() >= nextMemoryLogAt) {
+      nextMemoryLogAt = runtime.now() + MEMORY_LOG_INTERVAL_MS;
+      runtime
+          .events()
+          .info(LogEvent.SUBMISSIONS_EXCEED_MEMORY)
+          .with(LogField.TEAM, spec.team())
+          .with(LogField.JOBS, services.liveJobs().size())
+          .write();
+    }
+    return false;
   }
 
   /**
--- a/src/main/java/org/snowturn/core/api/LiveJobCache.java
+++ b/src/main/java/org/snowturn/core/api/LiveJobCache.java
@@ -6,6 +6,7 @@
 import org.snowturn.config.Settings;
 import org.snowturn.core.MonotonicTime;
 import org.snowturn.core.Outcome;
+import org.snowturn.core.admission.LiveJobMemory;
 import org.snowturn.core.admission.RequestClass;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.effects.LogEvent;
@@ -76,6 +77,7 @@
 
   private final CoreRuntime runtime;
   private final Listener listener;
+  private final LiveJobMemory memory;
   private final long minRequestIntervalMs;
   private final long validationIntervalMs;
   private final LiveJobs jobs =
@@ -88,10 +90,35 @@
   private long validations;
   private long loads;
 
-  /** Creates an empty cache, which reads the live jobs at the next tick. */
-  public LiveJobCache(Settings settings, CoreRuntime runtime, Listener listener) {
+  /**
+   * Creates an empty cache, which reads the live jobs at the next tick.
+   *
+   * @param memory account in which all live jobs are counted
+   */
+  public LiveJobCache(
+      Settings settings, CoreRuntime runtime, Listener listener, LiveJobMemory memory) {
     this.runtime = runtime;
     this.listener = listener;
+    this.memory = memory;
+    int maxChunkBytes = settings.stateLimits().maxValueBytes();
+    jobs.setListener(
+        new LiveJobs.Listener() {
+          @Override
+          public void onCached(String id, JsonNode value) {
+            long textBytes = JobRecord.submissionBytes(value, maxChunkBytes);
+            memory.putLive(id, JobRecord.group(value), textBytes);
+          }
+
+          @Override
+          public void onRemoved(String id) {
+            memory.removeLive(id);
+          }
+
+          @Override
+          public void onCleared() {
+            memory.clearLive();
+          }
+        });
     this.backoff = runtime.backoff(MIN_REQUEST_INTERVAL_MS, MAX_RETRY_DELAY_MS);
     Settings.Workers workers = settings.workers();
     long intervalMs =
@@ -175,7 +202,7 @@
           isRequestOpen = false;
           if (outcome.isSuccess(status) && applyChanges(body)) {
             validatedAt = runtime.now();
-            listener.onUpToDate(sentAt);
+            onUpToDate(sentAt);
             backoff.reset();
             covered.forEach(waiter -> waiter.onFresh.run());
             return;
@@ -189,6 +216,11 @@
         });
   }
 
+  private void onUpToDate(long asOfMs) {
+    memory.onLiveJobsRead(asOfMs);
+    listener.onUpToDate(asOfMs);
+  }
+
   /**
    * Applies the changes of a reply.
    *
@@ -242,7 +274,7 @@
             oldestRevision -> {
               isRequestOpen = false;
               jobs.completeLoad(oldestRevision);
-              listener.onUpToDate(sentAt);
+              onUpToDate(sentAt);
               backoff.reset();
               nextRequestAt = runtime.now();
               readIfDue();
--- a/src/main/java/org/snowturn/core/effects/LogEvent.java
+++ b/src/main/java/org/snowturn/core/effects/LogEvent.java
@@ -32,6 +32,8 @@
   RECORD_REJECTED,
   /** The state service has rejected several changes in one transaction. */
   TRANSACTION_REJECTED,
+  /** Submissions are refused because the live jobs take too much memory. */
+  SUBMISSIONS_EXCEED_MEMORY,
   /** This node has announced that it supports the next stored format. */
   FORMAT_SUPPORTED,
   /** All nodes support the next stored format. */
--- a/src/main/java/org/snowturn/core/effects/LogField.java
+++ b/src/main/java/org/snowturn/core/effects/LogField.java
@@ -78,6 +78,7 @@
   TASKS_RUNNING,
   TASKS_STARTING,
   TASKS_WAITING,
+  TEAM,
   TOKEN,
   TOOK_MS,
   TRY,
--- a/src/main/java/org/snowturn/core/model/LiveJobs.java
+++ b/src/main/java/org/snowturn/core/model/LiveJobs.java
@@ -23,14 +23,27 @@
    */
   public record CachedJob(long version, boolean cancelled, List<String> dependencies) {}
 
+  /** Listener for changes of the cached jobs. */
+  public interface Listener {
+    /** Called when a live record is cached for the first time or in a newer version. */
+    default void onCached(String id, JsonNode value) {}
+
+    /** Called when a job is no longer live. */
+    default void onRemoved(String id) {}
+
+    /** Called when the cache is emptied. */
+    default void onCleared() {}
+  }
+
   private final Map<String, CachedJob> live = new HashMap<>();
   private final String keyPrefix;
   private final Predicate<JsonNode> isCancelled;
   private final Function<JsonNode, List<String>> dependencies;
+  private Listener listener = new Listener() {};
   private long revision = -1;
 
   /**
-   * Creates an empty cache.
+   * Creates an empty cache without a listener.
    *
    * @param keyPrefix the prefix of the keys of live records; the rest of a key is the job's id
    * @param isCancelled predicate for whether a record's value says that the job is cancelled
@@ -46,6 +59,11 @@
     this.isCancelled = isCancelled;
   }
 
+  /** Sets the listener for all changes from now on. */
+  public void setListener(Listener listener) {
+    this.listener = listener;
+  }
+
   /** Returns whether the cache is loaded. */
   public boolean isLoaded() {
     return revision >= 0;
@@ -60,6 +78,7 @@
   public void clear() {
     live.clear();
     revision = -1;
+    listener.onCleared();
   }
 
   /**
@@ -115,7 +134,9 @@
     }
     if (entry.value() == null) {
       live.remove(id);
+      listener.onRemoved(id);
     } else {
+      listener.onCached(id, entry.value());
       live.put(
           id,
           new CachedJob(
--- a/src/main/java/org/snowturn/core/storage/JobRecord.java
+++ b/src/main/java/org/snowturn/core/storage/JobRecord.java
@@ -110,6 +110,26 @@
     return ids.stream().allMatch(JobSpec::isId) ? JobIdList.of(ids) : ids;
   }
 
+  /**
+   * Returns the class and the team of a live job. The class is unknown if the submission is stored
+   * in chunks; such jobs of a team count as one class.
+   */
+  public static String group(JsonNode value) {
+    JsonNode spec = value.path(SPEC);
+    return spec.path("jobclass").asText() + "/" + spec.path("owner").asText();
+  }
+
+  /**
+   * Returns the length of a live job's submission in bytes, or an upper bound if it is stored in
+   * chunks.
+   *
+   * @param maxValueBytes maximum size of a chunk
+   */
+  public static long submissionBytes(JsonNode value, int maxValueBytes) {
+    long chunks = value.path(CHUNK_COUNT).asLong(0);
+    return chunks > 0 ? chunks * maxValueBytes : Json.bytes(value).length;
+  }
+
   /**
    * Returns whether the record of a live or a finished job is that of a service. Older versions
    * wrote finished records without this field; for those it returns false.
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -112,7 +112,11 @@
     this.settings = settings;
     this.controller =
         new Controller(
-            settings, tunables, UUID.randomUUID().toString(), processStartNanos / NANOS_PER_MS);
+            settings,
+            tunables,
+            UUID.randomUUID().toString(),
+            processStartNanos / NANOS_PER_MS,
+            Runtime.getRuntime().maxMemory());
     controller.setDebugLogging(LOG.isDebugEnabled());
   }
 
--- a/src/testbench/java/org/snowturn/simulation/Scenario.java
+++ b/src/testbench/java/org/snowturn/simulation/Scenario.java
@@ -13,6 +13,7 @@
  * the scenario files describes the format.
  */
 final class Scenario {
+  private static final long BYTES_PER_MB = 1 << 20;
   private static final Path FIXTURES = Path.of("src", "test", "resources", "fixtures");
   private static final int MAX_START_DELAY_MS = 300;
 
@@ -84,6 +85,9 @@
       cluster.cloud.bootMs = settings.line("boot").millis(1);
     }
     cluster.cloud.capacityPerZone = settings.integer("capacity", 2);
+    if (settings.has("heap")) {
+      cluster.heapBytes = settings.line("heap").integer(1) * BYTES_PER_MB;
+    }
     cluster.seededBugs.addAll(settings.words("seeded-bugs", ""));
     List<String> zones = cluster.settings[0].zones();
     int machines = settings.integer("machines", 3);
--- a/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
@@ -58,6 +58,8 @@
     HOLD
   }
 
+  private static final long DEFAULT_HEAP_BYTES = 80L << 20;
+
   final Random random;
   final Settings[] settings;
   final InvariantChecker invariants = new InvariantChecker(this);
@@ -74,6 +76,9 @@
 
   final Tunables tunables;
 
+  /** Size of each controller's heap, as the controllers are told. */
+  long heapBytes = DEFAULT_HEAP_BYTES;
+
   /** Names of faults planted in the simulation to test that the checks detect them. */
   final Set<String> seededBugs = new HashSet<>();
 
@@ -435,7 +440,7 @@
       isUp = true;
       paused = false;
       backlog.clear();
-      core = new Controller(settings, tunables, name + "-" + incarnation, now);
+      core = new Controller(settings, tunables, name + "-" + incarnation, now, heapBytes);
       tick(incarnation);
     }
 
