The line of a violated invariant names the kind of evidence

Seen on an earlier reading: the detail of an end that is not proven began with an object's hash, since evidence has no text form. It begins with the name that metrics use. The new test fails before (the text had the class and hash).

--- a/src/main/java/org/snowturn/core/assignment/AttemptGuard.java
+++ b/src/main/java/org/snowturn/core/assignment/AttemptGuard.java
@@ -57,7 +57,7 @@
     String objection = snapshot(job, task).rejectionReason(evidence);
     if (objection != null) {
       invariants.recordViolation(
-          Invariant.END_IS_PROVEN, subject(job, task), evidence + ": " + objection);
+          Invariant.END_IS_PROVEN, subject(job, task), evidence.kind() + ": " + objection);
       return false;
     }
     endsByEvidence.merge(evidence.kind(), 1L, Long::sum);
--- a/src/test/java/org/snowturn/core/assignment/AttemptGuardTest.java
+++ b/src/test/java/org/snowturn/core/assignment/AttemptGuardTest.java
@@ -125,4 +125,16 @@
     assertEquals(1.0, guard.gauges().get("snowturn.releases.lease_lapsed"));
     assertEquals(0, errors());
   }
+
+  /** Guards against a log line that shows an object's hash in place of the evidence. */
+  @Test
+  void theLineOfAViolationNamesTheKindOfEvidence() {
+    guard.hasEnded(job, 0, new EndEvidence.LeaseExpired());
+    assertTrue(
+        runtime.drainEffects().stream()
+            .anyMatch(
+                effect ->
+                    effect instanceof Effect.Event event
+                        && event.text().contains("\"lease_lapsed: ")));
+  }
 }
