--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -118,6 +118,13 @@
             processStartNanos / NANOS_PER_MS,
             Runtime.getRuntime().maxMemory());
     controller.setDebugLogging(LOG.isDebugEnabled());
+    metrics.registerGauge("snowturn.heap.limit", () -> Runtime.getRuntime().maxMemory());
+    metrics.registerGauge("snowturn.heap.used", Daemon::usedHeapBytes);
+  }
+
+  /** Returns the heap that objects take, including those that the next collection will free. */
+  private static long usedHeapBytes() {
+    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
   }
 
   /**
