--- a/src/main/java/org/snowturn/core/api/JobStatusReader.java
+++ b/src/main/java/org/snowturn/core/api/JobStatusReader.java
@@ -136,12 +136,7 @@
               onRecord.accept(StateMessage.entry(body));
               return;
             } catch (MalformedException e) {
-              runtime
-                  .events()
-                  .info(LogEvent.RECORD_UNREADABLE)
-                  .with(LogField.KEY, key)
-                  .with(LogField.ERROR, e.getMessage())
-                  .write();
+              runtime.events().unreadable(LogEvent.RECORD_UNREADABLE, LogField.KEY, key, e);
             }
           }
           responses.refuse(exchange);
--- a/src/main/java/org/snowturn/core/api/LiveJobCache.java
+++ b/src/main/java/org/snowturn/core/api/LiveJobCache.java
@@ -237,12 +237,7 @@
       changes.forEach(this::notifyIfCancelled);
       return true;
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.REQUEST, "watch jobs")
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.REQUEST, "watch jobs", e);
       jobs.clear();
       return false;
     }
--- a/src/main/java/org/snowturn/core/assignment/JobRegistry.java
+++ b/src/main/java/org/snowturn/core/assignment/JobRegistry.java
@@ -150,12 +150,7 @@
     try {
       add(id, stored.joinChunks(id, texts), version);
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.RECORD_UNREADABLE)
-          .with(LogField.JOB, id)
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.RECORD_UNREADABLE, LogField.JOB, id, e);
     }
   }
 
@@ -261,12 +256,7 @@
               StateMessage.Entry entry = StateMessage.entry(body);
               add(id, JobRecord.parse(entry.value()), entry.version());
             } catch (MalformedException e) {
-              runtime
-                  .events()
-                  .info(LogEvent.RECORD_UNREADABLE)
-                  .with(LogField.JOB, id)
-                  .with(LogField.ERROR, e.getMessage())
-                  .write();
+              runtime.events().unreadable(LogEvent.RECORD_UNREADABLE, LogField.JOB, id, e);
             }
           }
           onComplete.run();
--- a/src/main/java/org/snowturn/core/autoscaling/ExternallyManagedMachines.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ExternallyManagedMachines.java
@@ -75,10 +75,8 @@
     } catch (MalformedException e) {
       runtime
           .events()
-          .info(LogEvent.RECORD_UNREADABLE)
-          .with(LogField.KEY, StorageKeys.EXTERNALLY_MANAGED_MACHINES)
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+          .unreadable(
+              LogEvent.RECORD_UNREADABLE, LogField.KEY, StorageKeys.EXTERNALLY_MANAGED_MACHINES, e);
     }
     return isCountKnown;
   }
--- a/src/main/java/org/snowturn/core/autoscaling/MachineInventory.java
+++ b/src/main/java/org/snowturn/core/autoscaling/MachineInventory.java
@@ -113,12 +113,7 @@
       }
       applyList(listedSoFar);
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.PATH, PATH)
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.PATH, PATH, e);
     }
     return true;
   }
--- a/src/main/java/org/snowturn/core/autoscaling/MachineRentals.java
+++ b/src/main/java/org/snowturn/core/autoscaling/MachineRentals.java
@@ -137,12 +137,7 @@
         refusals.recordGrant(request.pool());
       }
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.PATH, PATH)
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.PATH, PATH, e);
     }
   }
 
--- a/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
+++ b/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
@@ -236,12 +236,7 @@
       }
       return true;
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.MACHINE, machine.id)
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.MACHINE, machine.id, e);
       return false;
     }
   }
--- a/src/main/java/org/snowturn/core/effects/EventLog.java
+++ b/src/main/java/org/snowturn/core/effects/EventLog.java
@@ -52,6 +52,18 @@
     return new Line(Severity.DEBUG, event);
   }
 
+  /**
+   * Writes a line about a stored record or a reply that cannot be parsed.
+   *
+   * @param event {@link LogEvent#RECORD_UNREADABLE} or {@link LogEvent#REPLY_MALFORMED}
+   * @param subject the field that names the record or the request
+   * @param name the name of the record or the request
+   * @param error the error of the parser
+   */
+  public void unreadable(LogEvent event, LogField subject, String name, Exception error) {
+    info(event).with(subject, name).with(LogField.ERROR, error.getMessage()).write();
+  }
+
   /** A line under construction. */
   public final class Line {
     private final Severity severity;
--- a/src/main/java/org/snowturn/core/election/Campaign.java
+++ b/src/main/java/org/snowturn/core/election/Campaign.java
@@ -311,12 +311,7 @@
       listener.onElected(StateMessage.revision(reply));
       return true;
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.REQUEST, "claim")
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.REQUEST, "claim", e);
       return false;
     }
   }
--- a/src/main/java/org/snowturn/core/leader/JobWatch.java
+++ b/src/main/java/org/snowturn/core/leader/JobWatch.java
@@ -123,12 +123,7 @@
     try {
       assignments.registry().add(id, JobRecord.parse(entry.value()), entry.version());
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.RECORD_UNREADABLE)
-          .with(LogField.KEY, entry.key())
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.RECORD_UNREADABLE, LogField.KEY, entry.key(), e);
     }
   }
 }
--- a/src/main/java/org/snowturn/core/leader/StoredRecordsLoader.java
+++ b/src/main/java/org/snowturn/core/leader/StoredRecordsLoader.java
@@ -93,12 +93,7 @@
       return true;
     } catch (MalformedException | RuntimeException e) {
       unreadableCount++;
-      runtime
-          .events()
-          .info(LogEvent.RECORD_UNREADABLE)
-          .with(LogField.KEY, key)
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.RECORD_UNREADABLE, LogField.KEY, key, e);
       return false;
     }
   }
--- a/src/main/java/org/snowturn/core/model/MachineTypes.java
+++ b/src/main/java/org/snowturn/core/model/MachineTypes.java
@@ -97,12 +97,7 @@
         nextRequestAt = runtime.now() + REFRESH_INTERVAL_MS;
       }
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.REQUEST, CATALOG_PATH)
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.REQUEST, CATALOG_PATH, e);
     }
   }
 }
--- a/src/main/java/org/snowturn/core/storage/BatchSettlement.java
+++ b/src/main/java/org/snowturn/core/storage/BatchSettlement.java
@@ -60,12 +60,7 @@
     try {
       revision = StateMessage.revision(reply.body());
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.REQUEST, "transaction")
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.REQUEST, "transaction", e);
       return false;
     }
     for (RecordBatch.Write write : batch.writes()) {
@@ -176,12 +171,7 @@
       record.endWrite(StateMessage.entry(reply.body()).version());
       return true;
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.KEY, record.key())
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.KEY, record.key(), e);
       return false;
     }
   }
--- a/src/main/java/org/snowturn/core/storage/FormatGate.java
+++ b/src/main/java/org/snowturn/core/storage/FormatGate.java
@@ -135,12 +135,7 @@
       evaluate(StateMessage.entries(reply.body()));
       return true;
     } catch (MalformedException e) {
-      runtime
-          .events()
-          .info(LogEvent.REPLY_MALFORMED)
-          .with(LogField.PREFIX, StorageKeys.FORMAT)
-          .with(LogField.ERROR, e.getMessage())
-          .write();
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.PREFIX, StorageKeys.FORMAT, e);
       return false;
     }
   }
--- a/src/main/java/org/snowturn/core/storage/RangeReader.java
+++ b/src/main/java/org/snowturn/core/storage/RangeReader.java
@@ -105,12 +105,7 @@
               onPage(read, reply.body(), oldestRevision);
               return;
             } catch (MalformedException e) {
-              runtime
-                  .events()
-                  .info(LogEvent.REPLY_MALFORMED)
-                  .with(LogField.PREFIX, prefix)
-                  .with(LogField.ERROR, e.getMessage())
-                  .write();
+              runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.PREFIX, prefix, e);
             }
           }
           if (!shouldStop.getAsBoolean()) {
