What scheduling rounds remember of a job in a class of its own

The six values that only the scheduler keeps from one round to the next are in JobSchedulingState; nothing else changes.

--- a/src/main/java/org/snowturn/core/assignment/JobCompletion.java
+++ b/src/main/java/org/snowturn/core/assignment/JobCompletion.java
@@ -142,7 +142,8 @@
             .with(LogField.MEDIAN_S, job.medianRunTimeS())
             .with(
                 LogField.PLACED_AFTER_S,
-                secondsAfterSubmission(job, Math.max(job.placedWallMs(), job.submittedWallMs)))
+                secondsAfterSubmission(
+                    job, Math.max(job.scheduling.placedWallMs(), job.submittedWallMs)))
             .with(LogField.DONE_AFTER_S, secondsAfterSubmission(job, runtime.wallMs()))
             .with(LogField.RELEASED_AFTER_S, secondsAfterSubmission(job, job.releasedWallMs()))
             .with(LogField.RESTARTS, job.restarts());
--- a/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
+++ b/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
@@ -255,7 +255,7 @@
   /** Assigns a pending task to a machine. Its start is sent once the placement is durable. */
   public void assign(Job job, int task, Machine machine, long attempt) {
     addAssignment(job, task, machine, attempt, machine.epoch(), TaskState.PLACING);
-    job.setPlacedWallMs(runtime.wallMs());
+    job.scheduling.setPlacedWallMs(runtime.wallMs());
     placements++;
     machine.touchImage(job.spec.image(), job.spec.imageGb());
     writer.enqueue(
--- a/src/main/java/org/snowturn/core/scheduling/AgedJobPlacement.java
+++ b/src/main/java/org/snowturn/core/scheduling/AgedJobPlacement.java
@@ -56,7 +56,8 @@
       isPlacing = true;
       boolean hadCapacity = placement.place(job, usableMachines, Aging.batchSize(job));
       isPlacing = false;
-      job.setPreemptionProtection(job.hasPreemptionProtection() || job.pending() < pendingBefore);
+      job.scheduling.setPreemptionProtection(
+          job.scheduling.hasPreemptionProtection() || job.pending() < pendingBefore);
       if (!hadCapacity && job.pending() == pendingBefore && aging.canReserve(now)) {
         aging.reserve(job, machineToReserve(job, usableMachines), now);
       }
--- a/src/main/java/org/snowturn/core/scheduling/Aging.java
+++ b/src/main/java/org/snowturn/core/scheduling/Aging.java
@@ -62,7 +62,7 @@
 
   /** Returns the time since the job was released or last had a task placed. */
   private static double waitedMs(Job job, double wallMs) {
-    return wallMs - Math.max(job.releasedWallMs(), job.placedWallMs());
+    return wallMs - Math.max(job.releasedWallMs(), job.scheduling.placedWallMs());
   }
 
   /**
--- a/src/main/java/org/snowturn/core/scheduling/FairOrdering.java
+++ b/src/main/java/org/snowturn/core/scheduling/FairOrdering.java
@@ -35,17 +35,17 @@
 
   /** Records a job with waiting tasks, and on its first call assigns the job to its group. */
   void recordWaiting(Job job, long wallMs) {
-    if (job.shareGroup() < 0) {
-      job.setShareGroup(minimumShares.groupIndex(job.spec.jobClass(), job.spec.team()));
-      minimumShares.recordArrivals(job.shareGroup(), job.taskCount());
+    if (job.scheduling.shareGroup() < 0) {
+      job.scheduling.setShareGroup(minimumShares.groupIndex(job.spec.jobClass(), job.spec.team()));
+      minimumShares.recordArrivals(job.scheduling.shareGroup(), job.taskCount());
     }
     double waitedS = (wallMs - job.releasedWallMs()) / 1000.0;
-    minimumShares.recordWaiting(job.shareGroup(), waitedS, job.pending());
+    minimumShares.recordWaiting(job.scheduling.shareGroup(), waitedS, job.pending());
   }
 
   /** Records the placement of a task of the job. */
   void recordPlacement(Job job, long nowMs) {
-    minimumShares.recordPlacement(job.shareGroup(), job.spec.cpus(), nowMs);
+    minimumShares.recordPlacement(job.scheduling.shareGroup(), job.spec.cpus(), nowMs);
   }
 
   /**
@@ -59,7 +59,7 @@
   List<Job> sorted(List<Job> ordered) {
     List<Job> sorted = new ArrayList<>(ordered.size());
     if (guarantees.isAnyConfigured()) {
-      ordered.stream().filter(job -> job.isWithinGuarantee()).forEach(sorted::add);
+      ordered.stream().filter(job -> job.scheduling.isWithinGuarantee()).forEach(sorted::add);
     }
     for (boolean isProduction : new boolean[] {true, false}) {
       for (boolean isBelowMinimum : new boolean[] {true, false}) {
@@ -74,9 +74,11 @@
       List<Job> ordered, boolean isProduction, boolean isBelowMinimum, List<Job> sorted) {
     for (Job job : ordered) {
       boolean matches =
-          (job.priority() == Priority.PRODUCTION) == isProduction && !job.isWithinGuarantee();
-      if (matches && minimumShares.isBelowMinimum(job.shareGroup()) == isBelowMinimum) {
-        job.setPreemptionProtection(job.hasPreemptionProtection() || isBelowMinimum);
+          (job.priority() == Priority.PRODUCTION) == isProduction
+              && !job.scheduling.isWithinGuarantee();
+      if (matches && minimumShares.isBelowMinimum(job.scheduling.shareGroup()) == isBelowMinimum) {
+        job.scheduling.setPreemptionProtection(
+            job.scheduling.hasPreemptionProtection() || isBelowMinimum);
         sorted.add(job);
       }
     }
@@ -95,7 +97,7 @@
    */
   private static boolean updateGuaranteeEligibility(Job job) {
     boolean countsTowardsGuarantee = !job.isCancelled() && !job.awaitsDependencies();
-    job.setWithinGuarantee(job.isWithinGuarantee() && countsTowardsGuarantee);
+    job.scheduling.setWithinGuarantee(job.scheduling.isWithinGuarantee() && countsTowardsGuarantee);
     return countsTowardsGuarantee;
   }
 
@@ -128,7 +130,7 @@
 
     @Override
     public void setWithinGuarantee(boolean withinGuarantee) {
-      job.setWithinGuarantee(withinGuarantee);
+      job.scheduling.setWithinGuarantee(withinGuarantee);
     }
   }
 }
--- a/src/main/java/org/snowturn/core/scheduling/GangScheduling.java
+++ b/src/main/java/org/snowturn/core/scheduling/GangScheduling.java
@@ -21,7 +21,7 @@
    * that must run in a single zone.
    */
   boolean fits(Job job, List<Machine> usableMachines) {
-    job.setGangZone(-1);
+    job.scheduling.setGangZone(-1);
     if (job.assigned() > 0) {
       return false; // only tasks of the same attempt can run together: wait until all have ended
     }
@@ -39,7 +39,7 @@
     }
     for (int zone = 0; zone < fittingTasksByZone.length; zone++) {
       if (fittingTasksByZone[zone] >= job.pending()) {
-        job.setGangZone(zone);
+        job.scheduling.setGangZone(zone);
         return true;
       }
     }
--- a/src/main/java/org/snowturn/core/scheduling/PlacementConstraints.java
+++ b/src/main/java/org/snowturn/core/scheduling/PlacementConstraints.java
@@ -64,7 +64,9 @@
     if (!job.spec.singleZone()) {
       return true;
     }
-    if (job.assigned() == 0 && job.gangZone() >= 0 && job.gangZone() != machine.zone()) {
+    if (job.assigned() == 0
+        && job.scheduling.gangZone() >= 0
+        && job.scheduling.gangZone() != machine.zone()) {
       return false;
     }
     return job.assigned() == job.assignedInZone(machine.zone());
--- a/src/main/java/org/snowturn/core/scheduling/Preemptor.java
+++ b/src/main/java/org/snowturn/core/scheduling/Preemptor.java
@@ -99,9 +99,10 @@
         || !isPreemptionAllowed.getAsBoolean()) {
       return false;
     }
-    if (runtime.now() < job.preemptingUntil()) {
+    if (runtime.now() < job.scheduling.preemptingUntil()) {
       // Room may have been made for only some waiting replicas; the others must not wait for it.
-      return runtime.now() < job.preemptingUntil() - PREEMPTION_INTERVAL_MS + MAX_STOP_WAIT_MS;
+      return runtime.now()
+          < job.scheduling.preemptingUntil() - PREEMPTION_INTERVAL_MS + MAX_STOP_WAIT_MS;
     }
     List<Machine> withImage = new ArrayList<>();
     for (Machine machine : usableMachines) {
@@ -163,7 +164,7 @@
   /** Defers further preemption for the job and on the machine until the tasks can have ended. */
   private void recordPreemption(Job job, Machine machine) {
     machine.setPreemptingUntil(runtime.now() + PREEMPTION_INTERVAL_MS);
-    job.setPreemptingUntil(machine.preemptingUntil());
+    job.scheduling.setPreemptingUntil(machine.preemptingUntil());
   }
 
   /**
@@ -175,7 +176,7 @@
    */
   boolean makeRoom(Job job, List<Machine> usableMachines) {
     long now = runtime.now();
-    if (now < job.preemptingUntil()) {
+    if (now < job.scheduling.preemptingUntil()) {
       return true; // wait for the tasks that are already being preempted
     }
     if (!canPreemptFor(job)) {
@@ -183,7 +184,8 @@
     }
     List<PreemptionOption> options = options(job, usableMachines);
     if (options.isEmpty() && PlacementConstraints.isUnconstrained(job.spec)) {
-      failedRequests.add(new FailedRequest(job.spec, job.priority(), job.isWithinGuarantee()));
+      failedRequests.add(
+          new FailedRequest(job.spec, job.priority(), job.scheduling.isWithinGuarantee()));
     }
     options.sort(Comparator.comparingDouble(PreemptionOption::score));
     int[] assignedInZone = job.copyOfAssignedInZone();
@@ -199,13 +201,13 @@
         preempt(job, option);
       }
     }
-    return now < job.preemptingUntil();
+    return now < job.scheduling.preemptingUntil();
   }
 
   /** Returns whether it is allowed and worthwhile to search for tasks to preempt for the job. */
   private boolean canPreemptFor(Job job) {
     return isPreemptionAllowed.getAsBoolean()
-        && (job.isWithinGuarantee() || assignments.assignedBelow(job.priority()) > 0)
+        && (job.scheduling.isWithinGuarantee() || assignments.assignedBelow(job.priority()) > 0)
         && assignments.quota().allows(job.spec)
         && !isKnownToFail(job);
   }
@@ -214,7 +216,7 @@
   private List<PreemptionOption> options(Job job, List<Machine> usableMachines) {
     List<PreemptionOption> options = new ArrayList<>();
     List<Machine> machines =
-        job.isWithinGuarantee()
+        job.scheduling.isWithinGuarantee()
             ? usableMachines
             : machinesWithLowerPriority(job.priority(), usableMachines);
     for (Machine machine : machines) {
@@ -251,8 +253,9 @@
     for (FailedRequest failed : failedRequests) {
       // For a guarantee, the tasks that may be preempted depend on the team.
       boolean hasSameVictims =
-          job.isWithinGuarantee() == failed.isWithinGuarantee
-              && (!job.isWithinGuarantee() || job.spec.team().equals(failed.spec.team()));
+          job.scheduling.isWithinGuarantee() == failed.isWithinGuarantee
+              && (!job.scheduling.isWithinGuarantee()
+                  || job.spec.team().equals(failed.spec.team()));
       boolean hasNoHigherPriority = job.priority().compareTo(failed.priority) >= 0;
       if (hasSameVictims
           && hasNoHigherPriority
@@ -293,13 +296,14 @@
    */
   private static boolean isPreemptible(Job victim, Job job) {
     boolean isSameTeam = victim.spec.team().equals(job.spec.team());
-    if (victim.isWithinGuarantee() && !isSameTeam) {
+    if (victim.scheduling.isWithinGuarantee() && !isSameTeam) {
       return false;
     }
-    if (job.isWithinGuarantee() && !isSameTeam) {
+    if (job.scheduling.isWithinGuarantee() && !isSameTeam) {
       return true;
     }
-    boolean isProtected = victim.hasPreemptionProtection() && job.priority() != Priority.PRODUCTION;
+    boolean isProtected =
+        victim.scheduling.hasPreemptionProtection() && job.priority() != Priority.PRODUCTION;
     return victim.priority().compareTo(job.priority()) > 0 && !isProtected;
   }
 
--- a/src/main/java/org/snowturn/core/scheduling/TaskScheduler.java
+++ b/src/main/java/org/snowturn/core/scheduling/TaskScheduler.java
@@ -137,7 +137,9 @@
     boolean allPlaced = true;
     boolean areAgedJobsPlaced = false;
     for (Job job : fairOrdering.sorted(policy.order().sorted(waiting, (double) runtime.wallMs()))) {
-      if (!areAgedJobsPlaced && job.priority() != Priority.PRODUCTION && !job.isWithinGuarantee()) {
+      if (!areAgedJobsPlaced
+          && job.priority() != Priority.PRODUCTION
+          && !job.scheduling.isWithinGuarantee()) {
         areAgedJobsPlaced = true;
         agedJobPlacement.place(waiting, usableMachines);
       }
--- a/src/test/java/org/snowturn/core/scheduling/AgingTest.java
+++ b/src/test/java/org/snowturn/core/scheduling/AgingTest.java
@@ -56,7 +56,7 @@
         for (int i = 0; i < Aging.batchSize(job) && room > 0 && job.pending() > 0; i++, room--) {
           startedAt[job.index] = startedAt[job.index] == 0 ? now : startedAt[job.index];
           job.assign(job.nextPending(), MACHINE, 1, 1, TaskState.PLACING);
-          job.setPlacedWallMs(now);
+          job.scheduling.setPlacedWallMs(now);
           aging.recordPlacement(1, true, now);
           placements++;
           longWaitPlacements++;
