--- a/src/testbench/java/org/snowturn/simulation/ScenarioEvents.java
+++ b/src/testbench/java/org/snowturn/simulation/ScenarioEvents.java
@@ -144,6 +144,12 @@
           cluster.delayCommands(line.millis(FIRST));
           cluster.after(line.millis(SECOND), () -> cluster.delayCommands(0));
         });
+    ACTIONS.put(
+        "duplicate-commands",
+        (cluster, line) -> {
+          cluster.duplicateCommands(line.millis(FIRST));
+          cluster.after(line.millis(SECOND), () -> cluster.duplicateCommands(0));
+        });
     ACTIONS.put(
         "late-command-replies",
         (cluster, line) -> {
--- a/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
@@ -104,6 +104,9 @@
   private long commandDelayMs;
   private long commandReplyDelayMs;
 
+  /** Time after which an executed direct command arrives once more; 0 for no copies. */
+  private long commandCopyDelayMs;
+
   /** Maximum delay of duplicated heartbeats; 0 for no duplicates. */
   private long maxDuplicateDelayMs;
 
@@ -279,6 +282,22 @@
     commandReplyDelayMs = delayMs;
   }
 
+  /**
+   * Delivers each direct message that a worker executes once more from now on.
+   *
+   * @param delayMs time from the execution to the arrival of the copy; 0 to stop
+   */
+  void duplicateCommands(long delayMs) {
+    commandCopyDelayMs = delayMs;
+  }
+
+  /** Schedules the copy of a direct message that a worker has executed, if copies are delivered. */
+  void scheduleCommandCopy(Runnable deliverCopy) {
+    if (commandCopyDelayMs > 0) {
+      after(commandCopyDelayMs, deliverCopy);
+    }
+  }
+
   /**
    * Cuts a zone off from everything outside it, including workers that boot later.
    *
--- a/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
@@ -47,6 +47,10 @@
   final String addr;
   final Map<String, Task> tasks = new LinkedHashMap<>();
   private final Set<String> images = new HashSet<>();
+
+  /** Keys of the attempts that have ended here and are no longer listed. */
+  private final Set<String> formerAttempts = new HashSet<>();
+
   boolean dead;
   boolean hung;
 
@@ -142,6 +146,7 @@
     long leaseMs = (long) (workerSettings().leaseS() * 1000);
     if (cluster.now - leaseRenewedAt > leaseMs
         && !cluster.seededBugs.contains("immortal_sessions")) {
+      formerAttempts.addAll(tasks.keySet());
       tasks.clear();
       session++;
       leaseRenewedAt = cluster.now;
@@ -291,15 +296,36 @@
       cluster.after(HUNG_RETRY_MS, () -> handleCommand(body, sentAt, reply));
       return;
     }
+    if (executeMessage(body, sentAt)) {
+      cluster.scheduleCommandCopy(() -> handleCopy(body, sentAt));
+      reply.onReply(Outcome.ANSWERED, 200, statusBody());
+    } else {
+      reply.onReply(Outcome.ANSWERED, 409, statusBody());
+    }
+  }
+
+  /** Handles a late copy of a direct message, whose answer nobody waits for. */
+  private void handleCopy(JsonNode body, long sentAt) {
+    if (dead) {
+      return;
+    }
+    if (hung) {
+      cluster.after(HUNG_RETRY_MS, () -> handleCopy(body, sentAt));
+      return;
+    }
+    executeMessage(body, sentAt);
+  }
+
+  /** Executes a direct message. Returns whether its token and session allowed that. */
+  private boolean executeMessage(JsonNode body, long sentAt) {
     boolean isStale =
         body.path("baton").asLong() < token && !cluster.seededBugs.contains("any_token");
     if (isStale || body.path("thaw").asLong() != session) {
-      reply.onReply(Outcome.ANSWERED, 409, statusBody());
-      return;
+      return false;
     }
     updateToken(body.path("baton").asLong());
     executeCommands(body.path("orders"), sentAt);
-    reply.onReply(Outcome.ANSWERED, 200, statusBody());
+    return true;
   }
 
   private void executeCommands(JsonNode orders, long sentAt) {
@@ -321,6 +347,7 @@
         }
         case "forget" -> {
           if (task != null && !task.isAlive()) {
+            formerAttempts.add(key);
             tasks.remove(key);
           }
         }
@@ -330,6 +357,9 @@
   }
 
   private void start(String name, long attempt, String key, long sentAt) {
+    if (formerAttempts.contains(key)) {
+      cluster.invariants.reportViolation("ended_attempt_started", key + " on " + machine.id);
+    }
     Task task = task(name, attempt);
     task.startSentAt = sentAt;
     cluster.startsWithoutLease += outboundDropped ? 1 : 0;
