The attempt of a simulated worker becomes a class of its own, without open fields

Change: SimulatedTask, with methods for its states; registerHeartbeatEvents is split from registerNetworkEvents. Behavior is the same.

--- a/src/test/java/org/snowturn/simulation/InvariantCheckerTest.java
+++ b/src/test/java/org/snowturn/simulation/InvariantCheckerTest.java
@@ -44,14 +44,10 @@
     return spec;
   }
 
-  private SimulatedWorker.Task start(SimulatedWorker on, JobSpec spec, int index, long attempt) {
-    SimulatedWorker.Task task = new SimulatedWorker.Task();
-    task.job = spec.id();
-    task.index = index;
-    task.attempt = attempt;
-    task.phase = "running";
-    task.running = true;
-    on.tasks.put(task.name() + "#" + attempt, task);
+  private SimulatedTask start(SimulatedWorker on, JobSpec spec, int index, long attempt) {
+    SimulatedTask task = new SimulatedTask(spec.id() + "/" + index, attempt, 0);
+    task.run();
+    on.tasks.put(task.key(), task);
     cluster.invariants.onTaskStarted(on, task, spec);
     cluster.invariants.check();
     return task;
@@ -101,7 +97,7 @@
   @Test
   void taskThatEndedElsewhereHasNotRunTwice() {
     JobSpec spec = accepted(Map.of("cpus", "1", "team", "u"));
-    start(workers.get(0), spec, 0, 7).running = false;
+    start(workers.get(0), spec, 0, 7).end("halted");
     start(workers.get(1), spec, 0, 8);
     assertViolated();
   }
--- a/src/testbench/java/org/snowturn/simulation/InvariantChecker.java
+++ b/src/testbench/java/org/snowturn/simulation/InvariantChecker.java
@@ -41,9 +41,9 @@
   private static final long LEADER_OVERLAP_MS = 100;
 
   /** A task that was started on a machine and may have left it since. */
-  private record StartedTask(SimulatedWorker worker, SimulatedWorker.Task task, long atMs) {
+  private record StartedTask(SimulatedWorker worker, SimulatedTask task, long atMs) {
     boolean isPresent() {
-      return task.running && worker.hasTask(task);
+      return task.isRunning() && worker.hasTask(task);
     }
 
     @Override
@@ -82,7 +82,7 @@
   }
 
   /** Checks and records the start of a task, which has its image. */
-  void onTaskStarted(SimulatedWorker worker, SimulatedWorker.Task task, JobSpec spec) {
+  void onTaskStarted(SimulatedWorker worker, SimulatedTask task, JobSpec spec) {
     checkDependenciesDone(task, spec);
     checkNotCancelled(task);
     cluster.clients.recordStart(task.job);
@@ -112,17 +112,17 @@
    * the job is cancelled. {@link #MAX_PROPAGATION_MS} allows for the time until the leader learns
    * of a confirmation that one of its peers gave.
    */
-  private void checkNotCancelled(SimulatedWorker.Task task) {
+  private void checkNotCancelled(SimulatedTask task) {
     Long confirmedAt = cluster.clients.cancelConfirmedAt(task.job);
-    if (confirmedAt != null && task.startSentAt > confirmedAt + MAX_PROPAGATION_MS) {
+    if (confirmedAt != null && task.startSentAt() > confirmedAt + MAX_PROPAGATION_MS) {
       reportViolation(
           "started_cancelled",
-          task.name() + ", told at " + confirmedAt + ", sent at " + task.startSentAt);
+          task.name() + ", told at " + confirmedAt + ", sent at " + task.startSentAt());
     }
   }
 
   /** Reports a task that starts before the state service records its dependencies as done. */
-  private void checkDependenciesDone(SimulatedWorker.Task task, JobSpec spec) {
+  private void checkDependenciesDone(SimulatedTask task, JobSpec spec) {
     for (String id : spec.dependencies()) {
       JsonNode outcome = cluster.state.storedValue("d/" + id);
       if (outcome == null || !outcome.path("p").asText().equals("done")) {
@@ -194,7 +194,7 @@
     Set<String> placedJobs = new HashSet<>();
     Map<SimulatedWorker, Integer> takenCpus = new HashMap<>();
     for (SimulatedWorker worker : cluster.workers.values()) {
-      for (SimulatedWorker.Task task : worker.tasks.values()) {
+      for (SimulatedTask task : worker.tasks.values()) {
         if (task.isAlive()) {
           JobSpec spec = cluster.clients.spec(task.job);
           placedJobs.add(task.job);
@@ -281,7 +281,7 @@
     Set<String> placedJobs = new HashSet<>();
     for (SimulatedWorker worker : cluster.workers.values()) {
       worker.tasks.values().stream()
-          .filter(SimulatedWorker.Task::isAlive)
+          .filter(SimulatedTask::isAlive)
           .forEach(task -> placedJobs.add(task.job));
     }
     List<String> unsettled = new ArrayList<>();
@@ -376,8 +376,8 @@
     }
     Map<String, Double> cpusByTeam = new HashMap<>();
     for (SimulatedWorker worker : cluster.workers.values()) {
-      for (SimulatedWorker.Task task : worker.tasks.values()) {
-        if (!task.running) {
+      for (SimulatedTask task : worker.tasks.values()) {
+        if (!task.isRunning()) {
           continue;
         }
         JobSpec spec = cluster.clients.spec(task.job);
--- a/src/testbench/java/org/snowturn/simulation/LoopbackCluster.java
+++ b/src/testbench/java/org/snowturn/simulation/LoopbackCluster.java
@@ -335,8 +335,8 @@
     int workersUp = 0;
     for (SimulatedWorker worker : cluster.workers.values()) {
       workersUp += worker.dead ? 0 : 1;
-      for (SimulatedWorker.Task task : worker.tasks.values()) {
-        runningTasks += task.running ? 1 : 0;
+      for (SimulatedTask task : worker.tasks.values()) {
+        runningTasks += task.isRunning() ? 1 : 0;
       }
     }
     List<String> violations = new ArrayList<>(cluster.invariants.violatedRules);
--- a/src/testbench/java/org/snowturn/simulation/ScenarioEvents.java
+++ b/src/testbench/java/org/snowturn/simulation/ScenarioEvents.java
@@ -31,6 +31,7 @@
     registerControllerEvents();
     registerStateServiceEvents();
     registerNetworkEvents();
+    registerHeartbeatEvents();
     registerCloudEvents();
     registerMachineEvents();
   }
@@ -162,6 +163,9 @@
           cluster.messageDelayMs = line.millis(FIRST);
           cluster.after(line.millis(SECOND), () -> cluster.messageDelayMs = 0);
         });
+  }
+
+  private static void registerHeartbeatEvents() {
     ACTIONS.put(
         "slow-heartbeats",
         (cluster, line) -> {
@@ -327,7 +331,7 @@
   /** Returns the machine that runs the task named by the first argument. */
   private static SimulatedWorker workerOfTask(SimulatedCluster cluster, ScenarioLine line) {
     for (SimulatedWorker worker : cluster.workers.values()) {
-      for (SimulatedWorker.Task task : worker.tasks.values()) {
+      for (SimulatedTask task : worker.tasks.values()) {
         if (task.isAlive() && task.name().equals(line.word(FIRST))) {
           return worker;
         }
--- a/src/testbench/java/org/snowturn/simulation/ScenarioExpectations.java
+++ b/src/testbench/java/org/snowturn/simulation/ScenarioExpectations.java
@@ -176,7 +176,7 @@
     return cluster.workers.values().stream()
         .filter(where)
         .flatMap(worker -> worker.tasks.values().stream())
-        .filter(task -> task.running && task.job.equals(job))
+        .filter(task -> task.isRunning() && task.job.equals(job))
         .count();
   }
 
--- a/src/testbench/java/org/snowturn/simulation/SimulatedClients.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedClients.java
@@ -365,9 +365,9 @@
   void cancelRunningJobs(int count, long hangMs) {
     Map<SubmittedJob, List<SimulatedWorker>> workersByJob = new LinkedHashMap<>();
     for (SimulatedWorker worker : cluster.workers.values()) {
-      for (SimulatedWorker.Task task : worker.tasks.values()) {
+      for (SimulatedTask task : worker.tasks.values()) {
         SubmittedJob submitted = jobs.get(task.job);
-        if (task.running
+        if (task.isRunning()
             && submitted.accepted
             && !submitted.cancelRequested
             && submitted.terminalPhase == null) {
--- a/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
@@ -21,31 +21,10 @@
   private static final long NEXT_ENDPOINT_DELAY_MS = 1_000;
   private static final long ANSWER_TIMEOUT_MS = 4_000;
 
-  /** An attempt of a task on a machine; phases and causes are those of PROTOCOL. */
-  static final class Task {
-    String job;
-    int index;
-    long attempt;
-    String phase = "pulling";
-    String cause;
-    boolean running;
-
-    /** Time at which the message with the start command left its node. */
-    long startSentAt;
-
-    String name() {
-      return job + "/" + index;
-    }
-
-    boolean isAlive() {
-      return !phase.equals("ended");
-    }
-  }
-
   final SimulatedCluster cluster;
   final SimulatedCloud.RentedMachine machine;
   final String addr;
-  final Map<String, Task> tasks = new LinkedHashMap<>();
+  final Map<String, SimulatedTask> tasks = new LinkedHashMap<>();
   private final Set<String> images = new HashSet<>();
 
   /** Keys of the attempts that have ended here and are no longer listed. */
@@ -98,32 +77,23 @@
 
   /** Restores a task that a leader of another version started before this simulation. */
   private void restore(String[] fields) {
-    Task task = task(fields[0], Long.parseLong(fields[1]));
-    tasks.put(fields[0] + "#" + task.attempt, task);
+    SimulatedTask task = new SimulatedTask(fields[0], Long.parseLong(fields[1]), 0);
+    tasks.put(task.key(), task);
     if (fields[2].equals("running")) {
       run(task, cluster.clients.spec(task.job), session);
     } else {
-      endTask(task, fields[3]);
+      task.end(fields[3]);
     }
   }
 
-  private static Task task(String name, long attempt) {
-    Task task = new Task();
-    int slash = name.lastIndexOf('/');
-    task.job = name.substring(0, slash);
-    task.index = Integer.parseInt(name.substring(slash + 1));
-    task.attempt = attempt;
-    return task;
-  }
-
   /** Returns the highest leader token received. */
   long token() {
     return token;
   }
 
   /** Returns whether the machine still has a task, in any phase. */
-  boolean hasTask(Task task) {
-    return tasks.get(task.job + "/" + task.index + "#" + task.attempt) == task;
+  boolean hasTask(SimulatedTask task) {
+    return tasks.get(task.key()) == task;
   }
 
   /** Restarts the machine at once with its name and address but without its memory. */
@@ -173,11 +143,11 @@
       object.put("recall_s", reclaimNoticeS);
     }
     ArrayNode array = object.putArray("flakes");
-    for (Task task : tasks.values()) {
+    for (SimulatedTask task : tasks.values()) {
       ObjectNode status = array.addObject().put("flake", task.name()).put("try", task.attempt);
-      status.put("phase", task.phase);
-      if (task.cause != null) {
-        status.put("cause", task.cause);
+      status.put("phase", task.phase());
+      if (task.cause() != null) {
+        status.put("cause", task.cause());
       }
     }
     return object;
@@ -333,7 +303,7 @@
       String name = command.path("flake").asText();
       long attempt = command.path("try").asLong();
       String key = name + "#" + attempt;
-      Task task = tasks.get(key);
+      SimulatedTask task = tasks.get(key);
       switch (command.path("verb").asText()) {
         case "start" -> {
           if (task == null) {
@@ -342,7 +312,7 @@
         }
         case "halt" -> {
           if (task != null && task.isAlive()) {
-            endTask(task, "halted");
+            task.end("halted");
           }
         }
         case "forget" -> {
@@ -360,13 +330,12 @@
     if (formerAttempts.contains(key)) {
       cluster.invariants.reportViolation("ended_attempt_started", key + " on " + machine.id);
     }
-    Task task = task(name, attempt);
-    task.startSentAt = sentAt;
+    SimulatedTask task = new SimulatedTask(name, attempt, sentAt);
     cluster.startsWithoutLease += outboundDropped ? 1 : 0;
     JobSpec spec = cluster.clients.spec(task.job);
     boolean hasLiveAttempt = false;
     double cpus = 0;
-    for (Task other : tasks.values()) {
+    for (SimulatedTask other : tasks.values()) {
       if (other.isAlive()) {
         hasLiveAttempt |= other.name().equals(name);
         cpus += cluster.clients.spec(other.job).cpus();
@@ -374,11 +343,11 @@
     }
     tasks.put(key, task);
     if (spec == null) {
-      endTask(task, "no_such");
+      task.end("no_such");
     } else if (hasLiveAttempt) {
-      endTask(task, "busy");
+      task.end("busy");
     } else if (cpus + spec.cpus() > cluster.parameters.cpus()) {
-      endTask(task, "full");
+      task.end("full");
     } else {
       long startSession = session;
       if (images.contains(spec.image())) {
@@ -395,17 +364,16 @@
     }
   }
 
-  private void run(Task task, JobSpec spec, long startSession) {
+  private void run(SimulatedTask task, JobSpec spec, long startSession) {
     if (dead || startSession != session || !task.isAlive()) {
       return;
     }
-    task.phase = "running";
-    task.running = true;
+    task.run();
     cluster.invariants.onTaskStarted(this, task, spec);
     if (failing || cluster.clients.alwaysFails(task.job)) {
-      endTask(task, "error");
+      task.end("error");
     } else if (cluster.clients.hasResult(task.name())) {
-      endTask(task, "done");
+      task.end("done");
     } else if (!spec.isService()) {
       long ms = (long) (cluster.clients.runMs(task.job, task.index) * runtimeFactor);
       cluster.after(ms, () -> complete(task, startSession));
@@ -413,18 +381,12 @@
   }
 
   /** Ends a task as done; a hung machine does so when it resumes. */
-  private void complete(Task task, long startSession) {
+  private void complete(SimulatedTask task, long startSession) {
     if (hung) {
       cluster.after(HUNG_RETRY_MS, () -> complete(task, startSession));
     } else if (!dead && startSession == session && task.isAlive()) {
       cluster.clients.recordResult(task.name());
-      endTask(task, "done");
+      task.end("done");
     }
   }
-
-  private void endTask(Task task, String cause) {
-    task.phase = "ended";
-    task.cause = cause;
-    task.running = false;
-  }
 }
