An ended attempt is forgotten only under a higher token than its direct start

Cause: an attempt whose direct start had been answered counted as settled, so its machine was told to forget it under the token of the start. The network may deliver a message again; the machine, which no longer knows the attempt and has seen no higher token, starts it. Class of bug: proof that rests on the answer that the sender got. A message is harmless only if its receiver refuses it. Change: each machine has a fence (CommandFence): the token of messages to it, and the token under which each start left directly, answered or not. A forget leaves only in an answer whose token is higher; a machine that has seen that token refuses every copy. The higher token costs no write: each transaction of a leader names its leader key, so the revision of an executed one belongs to this leader alone and lies below the key of any later one. It is raised only in answers, for one machine, and not while a direct message to it is in flight. The marks for unanswered starts are gone, one rule serves both: absence proves the end of a stopped attempt once the machine has reported a higher token, and a start in doubt of a cancelled job no longer ends the machine's session after 30 s where the leader can write. Attempt numbers, records and peer messages are unchanged. A report with a token that this leader never sent is logged and counted (heartbeat_token_unknown), an attempt that runs unassigned is logged as it is stopped. The explorer of reconciliation knew all copies in flight, which no leader does; it now decides by tokens, as the leader does, and lets any start be copied.

--- a/src/main/java/org/snowturn/core/assignment/AttemptGuard.java
+++ b/src/main/java/org/snowturn/core/assignment/AttemptGuard.java
@@ -82,12 +82,13 @@
     Machine machine = machines.get(job.machineOf(task));
     return new AttemptSnapshot(
         token,
+        machine.fence.token(),
         runtime.now(),
         job.epochOf(task),
         job.stateOf(task) != TaskState.PLACING,
         job.adopted.get(task),
         job.stopping.get(task),
-        ReconciliationCases.isStartInDoubt(machine, job.attemptOf(task), task),
+        machine.fence.canStartArrive(job.attemptOf(task), task),
         machine.isTerminationConfirmed(),
         machine.cloudState() == CloudMachine.State.FAILED,
         machine.session.lastAnswerAt(),
--- a/src/main/java/org/snowturn/core/assignment/HeartbeatCommands.java
+++ b/src/main/java/org/snowturn/core/assignment/HeartbeatCommands.java
@@ -2,7 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.agrona.collections.LongHashSet;
+import org.snowturn.core.effects.CoreRuntime;
+import org.snowturn.core.effects.LogEvent;
+import org.snowturn.core.effects.LogField;
 import org.snowturn.core.model.Job;
 import org.snowturn.core.model.Machine;
 import org.snowturn.core.recovery.Reconciliation;
@@ -30,23 +34,35 @@
   private final TaskAssignments assignments;
   private final KnownCancellations cancellations;
   private final ReconciliationCases cases;
+  private final StartFencing fencing;
+  private final CoreRuntime runtime;
   private long repeatedStarts;
+  private long unassignedStops;
 
   /**
    * Creates an instance that answers the heartbeats of a term.
    *
-   * @param token the fencing token of the term
+   * @param fencing raises the tokens of machines
    */
   public HeartbeatCommands(
-      TaskAssignments assignments, KnownCancellations cancellations, long token) {
+      CoreRuntime runtime,
+      TaskAssignments assignments,
+      KnownCancellations cancellations,
+      StartFencing fencing) {
+    this.runtime = runtime;
     this.assignments = assignments;
     this.cancellations = cancellations;
-    this.cases = new ReconciliationCases(assignments, token);
+    this.fencing = fencing;
+    this.cases = new ReconciliationCases(assignments);
   }
 
-  /** Returns the number of starts sent again because a heartbeat did not list their tasks. */
-  public long repeatedStarts() {
-    return repeatedStarts;
+  /** Returns the gauges of the answers, by metric name. */
+  public Map<String, Double> gauges() {
+    return Map.of(
+        "snowturn.starts.repeated", (double) repeatedStarts,
+        "snowturn.stops.unassigned", (double) unassignedStops,
+        "snowturn.tokens.raised", (double) fencing.raisedTokens(),
+        "snowturn.forgets.deferred", (double) fencing.unfenced());
   }
 
   /** Returns the answer to a heartbeat, after {@link HeartbeatProcessor#apply} has processed it. */
@@ -103,14 +119,34 @@
       // A record of the job is unreadable, but its cancellation may have been confirmed to a user.
       return cancellations.isKnownCancelled(status.job()) ? stopCommand(status) : null;
     }
+    if (status.state() == TaskStatus.State.ENDED
+        && assignments.isForgettable(status.job(), status.task(), status.attempt())) {
+      fencing.fence(machine, status.attempt(), status.task());
+    }
     return switch (Reconciliation.decide(cases.caseOfListed(machine, heartbeat, status, job))) {
-      case STOP -> assignedHere ? assignments.stopCommand(job, status.task()) : stopCommand(status);
+      case STOP ->
+          assignedHere
+              ? assignments.stopCommand(job, status.task())
+              : stopUnassigned(machine, status);
       case FORGET ->
           new Command(Command.Op.FORGET, status.job(), status.task(), status.attempt(), 0);
       default -> null;
     };
   }
 
+  private Command stopUnassigned(Machine machine, TaskStatus status) {
+    unassignedStops++;
+    runtime
+        .events()
+        .info(LogEvent.UNASSIGNED_ATTEMPT_STOPPED)
+        .with(LogField.TASK, status.job() + "/" + status.task())
+        .with(LogField.ATTEMPT, status.attempt())
+        .with(LogField.MACHINE, machine.id)
+        .with(LogField.TOKEN, machine.fence.token())
+        .write();
+    return stopCommand(status);
+  }
+
   /**
    * Returns whether a task must be stopped even if the heartbeat that lists it is not the newest.
    * The newer heartbeat may have been the reply to a direct message, which is not answered with
@@ -150,7 +186,8 @@
     if (job.isCancelled()) {
       // The task may be on the machine: a newer heartbeat may have listed it.
       commands.add(assignments.stopCommand(job, task));
-      return !ReconciliationCases.isStartInDoubt(machine, job.attemptOf(task), task)
+      // A machine whose lease this answer renews refuses the start from then on.
+      return fencing.fence(machine, job.attemptOf(task), task)
           || cancellations.wouldLeaseExpireInTime(job.earliestConfirmationAt());
     }
     if (verdict == Verdict.START) {
--- a/src/main/java/org/snowturn/core/assignment/HeartbeatProcessor.java
+++ b/src/main/java/org/snowturn/core/assignment/HeartbeatProcessor.java
@@ -54,15 +54,11 @@
   private final MachineIndex machines;
   private final MachineTypes machineTypes;
   private final PreemptionRate preemptionRate;
-  private final long token;
   private final ReconciliationCases cases;
   private final ReportedTasks reportedTasks;
+  private long unknownTokens;
 
-  /**
-   * Creates a processor for the heartbeats of a term.
-   *
-   * @param token the fencing token of the term
-   */
+  /** Creates a processor for the heartbeats of a term. */
   public HeartbeatProcessor(
       CoreRuntime runtime,
       Settings settings,
@@ -70,17 +66,15 @@
       TaskAssignments assignments,
       MachineIndex machines,
       MachineTypes machineTypes,
-      PreemptionRate preemptionRate,
-      long token) {
+      PreemptionRate preemptionRate) {
     this.preemptionRate = preemptionRate;
     this.runtime = runtime;
     this.settings = settings;
     this.assignments = assignments;
     this.machines = machines;
     this.machineTypes = machineTypes;
-    this.token = token;
-    this.cases = new ReconciliationCases(assignments, token);
-    this.reportedTasks = new ReportedTasks(runtime, failureHandler, assignments, token);
+    this.cases = new ReconciliationCases(assignments);
+    this.reportedTasks = new ReportedTasks(runtime, failureHandler, assignments);
   }
 
   /**
@@ -147,7 +141,8 @@
     machine.session.recordHeartbeat(
         heartbeat.sequence(), runtime.now(), maxHeartbeatIntervalMs(settings));
     machine.clearSuspicion();
-    boolean carriesToken = heartbeat.seenToken() == token;
+    recordSeenToken(machine, heartbeat.seenToken());
+    boolean carriesToken = machine.fence.isOwnToken(heartbeat.seenToken());
     machine.reachability.onHeartbeatAccepted(carriesToken);
     if (carriesToken && !machine.session.isAcknowledged()) {
       machine.session.acknowledge();
@@ -179,12 +174,34 @@
     // Counted from the last answer, the lease would seem expired while its tasks still run.
     machine.session.setLastAnswerAt(Math.max(machine.session.lastAnswerAt(), runtime.now()));
     machine.session.clearAcknowledgement();
-    machine.startsInDoubt.clear();
+    machine.fence.onNewAgentEpoch();
     machine.commands().discardUnsent();
     machine.reachability.onNewAgentEpoch(runtime.now());
     releaseEarlierEpochs(machine, epoch);
   }
 
+  /**
+   * Records the token that a machine has seen. One that this leader has not sent belongs to a later
+   * leader, or the worker is faulty; a heartbeat with it proves nothing.
+   */
+  private void recordSeenToken(Machine machine, long seenToken) {
+    if (machine.fence.onTokenSeen(seenToken)) {
+      unknownTokens++;
+      runtime
+          .events()
+          .info(LogEvent.HEARTBEAT_TOKEN_UNKNOWN)
+          .with(LogField.MACHINE, machine.id)
+          .with(LogField.SEEN_TOKEN, seenToken)
+          .with(LogField.TOKEN, machine.fence.token())
+          .write();
+    }
+  }
+
+  /** Returns how often a machine has reported a token that this leader has not sent to it. */
+  public long unknownTokens() {
+    return unknownTokens;
+  }
+
   /**
    * Applies the preemption notice of a heartbeat, if it has one.
    *
--- a/src/main/java/org/snowturn/core/assignment/ReconciliationCases.java
+++ b/src/main/java/org/snowturn/core/assignment/ReconciliationCases.java
@@ -1,6 +1,5 @@
 package org.snowturn.core.assignment;
 
-import org.snowturn.core.dispatch.CommandQueue;
 import org.snowturn.core.health.EndEvidence;
 import org.snowturn.core.model.Job;
 import org.snowturn.core.model.Machine;
@@ -14,11 +13,9 @@
 /** Builds the cases of the {@link Reconciliation} table from stored and reported task states. */
 final class ReconciliationCases {
   private final TaskAssignments assignments;
-  private final long token;
 
-  ReconciliationCases(TaskAssignments assignments, long token) {
+  ReconciliationCases(TaskAssignments assignments) {
     this.assignments = assignments;
-    this.token = token;
   }
 
   /** Returns whether the reported attempt is the one assigned to this machine. */
@@ -29,14 +26,6 @@
         && job.attemptOf(task) == status.attempt();
   }
 
-  /**
-   * Returns whether a start sent directly to the machine got no answer, so that it may still
-   * arrive.
-   */
-  static boolean isStartInDoubt(Machine machine, long attempt, int task) {
-    return machine.startsInDoubt.contains(CommandQueue.attemptKey(attempt, task));
-  }
-
   /** Returns whether the task is alive and its job is quarantined. */
   boolean isQuarantined(TaskStatus status) {
     return status.state() != TaskStatus.State.ENDED
@@ -94,7 +83,7 @@
         status.state() != TaskStatus.State.ENDED
             ? Reported.ALIVE
             : status.exitReason() == TaskStatus.ExitReason.DONE ? Reported.DONE : Reported.ENDED;
-    boolean carriesToken = heartbeat.seenToken() == token;
+    boolean carriesToken = machine.fence.isOwnToken(heartbeat.seenToken());
     if (job != null && isAssignedHere(machine, job, status)) {
       return new Reconciliation.Case(
           storedState(job, status.task()),
@@ -113,7 +102,7 @@
                     ? Stored.WAITING
                     : Stored.ELSEWHERE;
     boolean settled =
-        !isStartInDoubt(machine, status.attempt(), status.task())
+        machine.fence.isStartFenced(status.attempt(), status.task())
             && assignments.isForgettable(status.job(), status.task(), status.attempt());
     return new Reconciliation.Case(
         stored, seen, Reconciliation.EpochOrder.SAME, carriesToken, false, settled);
@@ -121,8 +110,8 @@
 
   /**
    * Returns the case of an assigned task that the heartbeat does not list. No start of the task can
-   * still arrive if every directly sent start was answered and the worker sent the heartbeat on its
-   * own: a worker executes the commands of an answer before its next own heartbeat or never.
+   * still arrive if the machine refuses every directly sent start and the worker sent the heartbeat
+   * on its own: a worker executes the commands of an answer before its next own heartbeat or never.
    *
    * @param ownHeartbeat whether the worker sent the heartbeat on its own, and not as the reply to a
    *     direct message
@@ -133,8 +122,8 @@
         storedState(job, task),
         Reported.ABSENT,
         compareEpochs(heartbeat.agentEpoch(), job.epochOf(task)),
-        heartbeat.seenToken() == token,
+        machine.fence.isOwnToken(heartbeat.seenToken()),
         job.stopping.get(task),
-        ownHeartbeat && !isStartInDoubt(machine, job.attemptOf(task), task));
+        ownHeartbeat && !machine.fence.canStartArrive(job.attemptOf(task), task));
   }
 }
--- a/src/main/java/org/snowturn/core/assignment/ReportedTasks.java
+++ b/src/main/java/org/snowturn/core/assignment/ReportedTasks.java
@@ -32,14 +32,11 @@
   private final CoreRuntime runtime;
   private final FailureHandler failureHandler;
   private final TaskAssignments assignments;
-  private final long token;
 
-  ReportedTasks(
-      CoreRuntime runtime, FailureHandler failureHandler, TaskAssignments assignments, long token) {
+  ReportedTasks(CoreRuntime runtime, FailureHandler failureHandler, TaskAssignments assignments) {
     this.runtime = runtime;
     this.failureHandler = failureHandler;
     this.assignments = assignments;
-    this.token = token;
   }
 
   /**
@@ -56,7 +53,7 @@
       case ENDED -> applyEnded(machine, job, status, verdict, heartbeat);
       default -> {}
     }
-    if (heartbeat.seenToken() == token && job.isAssigned(task)) {
+    if (machine.fence.isOwnToken(heartbeat.seenToken()) && job.isAssigned(task)) {
       // Reported with this leader's token: from now on, only its own end releases the attempt.
       assignments.confirmAdopted(job, task);
     }
--- /dev/null
+++ b/src/main/java/org/snowturn/core/assignment/StartFencing.java
@@ -0,0 +1,76 @@
+package org.snowturn.core.assignment;
+
+import java.util.function.LongSupplier;
+import org.snowturn.core.effects.CoreRuntime;
+import org.snowturn.core.effects.LogEvent;
+import org.snowturn.core.effects.LogField;
+import org.snowturn.core.model.Machine;
+
+/**
+ * Raises the tokens of machines, so that starts that were sent directly are refused if they arrive
+ * late or once more.
+ *
+ * <p>Each transaction of the leader is conditional on the leader key. The revision of an executed
+ * one is therefore a token of this leader alone: it is higher than the version of its leader key,
+ * and a later leader can write the key only at a higher revision (docs/safety.md). Raising a token
+ * needs no write of its own.
+ */
+public final class StartFencing {
+  private final CoreRuntime runtime;
+  private final LongSupplier committedRevision;
+  private long raisedTokens;
+  private long unfenced;
+
+  /**
+   * Creates the fencing of a term.
+   *
+   * @param committedRevision supplies the highest revision of the term's executed transactions; 0
+   *     if there is none
+   */
+  public StartFencing(CoreRuntime runtime, LongSupplier committedRevision) {
+    this.runtime = runtime;
+    this.committedRevision = committedRevision;
+  }
+
+  /**
+   * Makes the answer to the machine's heartbeat void all direct starts of an attempt, by raising
+   * the machine's token if that is needed. The token stays while a direct message is in flight,
+   * which the machine would refuse after the answer.
+   *
+   * @return whether a machine that receives the answer refuses all direct starts of the attempt
+   */
+  boolean fence(Machine machine, long attempt, int task) {
+    if (machine.fence.isStartFenced(attempt, task)) {
+      return true;
+    }
+    if (!machine.commands().isAwaitingReply()
+        && machine.fence.raiseToken(committedRevision.getAsLong())) {
+      raisedTokens++;
+      logRaise(machine);
+    }
+    boolean isFenced = machine.fence.isStartFenced(attempt, task);
+    unfenced += isFenced ? 0 : 1;
+    return isFenced;
+  }
+
+  private void logRaise(Machine machine) {
+    if (runtime.events().isDebugEnabled()) {
+      runtime
+          .events()
+          .debug(LogEvent.TOKEN_RAISED)
+          .with(LogField.MACHINE, machine.id)
+          .with(LogField.TOKEN, machine.fence.token())
+          .write();
+    }
+  }
+
+  /** Returns how often the token of a machine was raised. */
+  long raisedTokens() {
+    return raisedTokens;
+  }
+
+  /** Returns how often the starts of an attempt could not be made void yet. */
+  long unfenced() {
+    return unfenced;
+  }
+}
--- a/src/main/java/org/snowturn/core/dispatch/CommandLog.java
+++ b/src/main/java/org/snowturn/core/dispatch/CommandLog.java
@@ -17,15 +17,9 @@
    * @param path how the commands are sent: {@code direct}, or {@code answer} for the reply to a
    *     heartbeat
    * @param agentEpoch the agent epoch of the machine that the commands are for
-   * @param token the fencing token of the term
    */
   public static void write(
-      CoreRuntime runtime,
-      String path,
-      Machine machine,
-      long agentEpoch,
-      long token,
-      List<Command> commands) {
+      CoreRuntime runtime, String path, Machine machine, long agentEpoch, List<Command> commands) {
     if (!runtime.events().isDebugEnabled()) {
       return;
     }
@@ -37,7 +31,7 @@
           .with(LogField.ATTEMPT, command.attempt())
           .with(LogField.MACHINE, machine.id)
           .with(LogField.AGENT_EPOCH, agentEpoch)
-          .with(LogField.TOKEN, token)
+          .with(LogField.TOKEN, machine.fence.token())
           .with(LogField.PATH, path)
           .with(LogField.NEWEST_HEARTBEAT, machine.session.heartbeatSequence())
           .write();
--- a/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
+++ b/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
@@ -38,21 +38,14 @@
   /** The first agent epoch of a machine. */
   private static final long FIRST_AGENT_EPOCH = 1;
 
-  /** Factor that exceeds the number of tasks of any job. */
-  private static final long ATTEMPT_KEY_FACTOR = 131_072;
-
   private static final int STATUS_OK = 200;
   private static final int STATUS_CONFLICT = 409;
-  private static final int MIN_SERVER_ERROR_STATUS = 500;
 
   /** The leader's functions that the queue uses. */
   public interface Host {
     /** Returns whether this node has the authority to send commands now. */
     boolean hasAuthority();
 
-    /** Returns the fencing token of the term. */
-    long token();
-
     /** Handles the heartbeat with which the machine has answered a message. */
     void onHeartbeat(Heartbeat heartbeat);
 
@@ -113,14 +106,6 @@
     requestFlush();
   }
 
-  /**
-   * Returns a number that identifies an attempt of a task. The attempt number alone does not, since
-   * it is the same for all tasks of a gang.
-   */
-  public static long attemptKey(long attempt, int task) {
-    return attempt * ATTEMPT_KEY_FACTOR + task;
-  }
-
   /** Requests a flush of pending commands, for example once the machine's address is known. */
   @Override
   public void resume() {
@@ -134,6 +119,11 @@
     queue.clear();
   }
 
+  @Override
+  public boolean isAwaitingReply() {
+    return isBusy;
+  }
+
   @Override
   public boolean isIdle() {
     return !isBusy && queue.isEmpty();
@@ -156,7 +146,7 @@
     }
     isProbeRequested = false;
     isBusy = true;
-    send(commands, markInDoubt(commands));
+    send(commands, recordStarts(commands));
   }
 
   private boolean canSend() {
@@ -168,53 +158,51 @@
   }
 
   /**
-   * Marks the attempts of all start commands as in doubt: until an answer arrives, the machine may
-   * execute them at any later time of its agent epoch. Returns the attempts that were not in doubt
-   * before.
+   * Records the start commands in the machine's fence, before they are sent. Returns those of
+   * attempts that had no direct start before.
    */
-  private List<Long> markInDoubt(List<Command> commands) {
-    List<Long> newlyInDoubt = new ArrayList<>();
+  private List<Command> recordStarts(List<Command> commands) {
+    List<Command> firstStarts = new ArrayList<>();
     for (Command command : commands) {
-      if (command.op() == Command.Op.START
-          && machine.startsInDoubt.add(attemptKey(command.attempt(), command.task()))) {
-        newlyInDoubt.add(attemptKey(command.attempt(), command.task()));
+      if (command.op() == Command.Op.START) {
+        if (!machine.fence.canStartArrive(command.attempt(), command.task())) {
+          firstStarts.add(command);
+        }
+        machine.fence.recordDirectStart(command.attempt(), command.task());
       }
     }
-    return newlyInDoubt;
+    return firstStarts;
   }
 
-  private void send(List<Command> commands, List<Long> newlyInDoubt) {
+  private void send(List<Command> commands, List<Command> firstStarts) {
     // The agent epoch is unknown for a machine on which earlier leaders placed nothing. Most such
     // machines are in their first epoch; the others refuse the message and report their epoch.
     long agentEpoch = Math.max(FIRST_AGENT_EPOCH, machine.epoch());
-    CommandLog.write(runtime, "direct", machine, agentEpoch, host.token(), commands);
+    CommandLog.write(runtime, "direct", machine, agentEpoch, commands);
     long sentAt = runtime.now();
     runtime.call(
         Effect.Target.WORKER,
         machine.address(),
         "POST",
         "/commands",
-        Command.directCommands(host.token(), agentEpoch, commands),
+        Command.directCommands(machine.fence.token(), agentEpoch, commands),
         commands.isEmpty() ? PROBE_TIMEOUT_MS : TIMEOUT_MS,
-        (outcome, status, body) ->
-            onReply(agentEpoch, sentAt, newlyInDoubt, outcome, status, body));
+        (outcome, status, body) -> onReply(agentEpoch, sentAt, firstStarts, outcome, status, body));
   }
 
   private void onReply(
       long agentEpoch,
       long sentAt,
-      List<Long> newlyInDoubt,
+      List<Command> firstStarts,
       Outcome outcome,
       int status,
       JsonNode body) {
     isBusy = false;
     resume();
-    boolean isSettled =
-        outcome == Outcome.REFUSED
-            || (outcome == Outcome.ANSWERED && status < MIN_SERVER_ERROR_STATUS);
-    if (isSettled) {
-      // Attempts that an earlier unanswered message put in doubt stay in doubt.
-      newlyInDoubt.forEach(attempt -> machine.startsInDoubt.remove(attempt.longValue()));
+    if (outcome == Outcome.REFUSED) {
+      // The message never left. Starts in earlier messages may still arrive.
+      firstStarts.forEach(
+          start -> machine.fence.withdrawDirectStart(start.attempt(), start.task()));
     }
     boolean hasHeartbeat =
         outcome == Outcome.ANSWERED && (status == STATUS_OK || status == STATUS_CONFLICT);
--- a/src/main/java/org/snowturn/core/effects/LogEvent.java
+++ b/src/main/java/org/snowturn/core/effects/LogEvent.java
@@ -105,6 +105,12 @@
   TERMINATED,
   /** The number of machines that the operators run themselves has been determined. */
   EXTERNALLY_MANAGED_MACHINES,
+  /** A heartbeat carries a higher token than this leader has sent to the machine. */
+  HEARTBEAT_TOKEN_UNKNOWN,
+  /** A machine runs an attempt that is not assigned to it, and is told to stop it. */
+  UNASSIGNED_ATTEMPT_STOPPED,
+  /** The token of messages to a machine has been raised, so that late starts are refused. */
+  TOKEN_RAISED,
   /** A heartbeat has been answered. */
   HEARTBEAT,
   /** A start command has been sent. */
--- a/src/main/java/org/snowturn/core/health/EndEvidence.java
+++ b/src/main/java/org/snowturn/core/health/EndEvidence.java
@@ -35,8 +35,13 @@
      * null if it can.
      */
     final String reportRejectionReason(AttemptSnapshot attempt) {
-      if (token != attempt.token()) {
-        return "the heartbeat carries token " + token + " instead of " + attempt.token();
+      if (token < attempt.token() || token > attempt.latestToken()) {
+        return "the heartbeat carries token "
+            + token
+            + ", which is not one of "
+            + attempt.token()
+            + " to "
+            + attempt.latestToken();
       }
       if (agentEpoch != attempt.agentEpoch()) {
         return "the heartbeat is of agent epoch "
--- a/src/main/java/org/snowturn/core/leader/AssignmentServices.java
+++ b/src/main/java/org/snowturn/core/leader/AssignmentServices.java
@@ -8,6 +8,7 @@
 import org.snowturn.core.assignment.JobListener;
 import org.snowturn.core.assignment.KnownCancellations;
 import org.snowturn.core.assignment.MachineRegistry;
+import org.snowturn.core.assignment.StartFencing;
 import org.snowturn.core.assignment.TaskAssignments;
 import org.snowturn.core.dependency.DependencyGraph;
 import org.snowturn.core.dispatch.CommandQueue;
@@ -62,7 +63,9 @@
     FormatGate formatGate = shared.formatGate();
     MachineIndex machines =
         new MachineIndex(
-            shared.settings().zones(), machine -> new CommandQueue(runtime, commandHost, machine));
+            shared.settings().zones(),
+            term.token(),
+            machine -> new CommandQueue(runtime, commandHost, machine));
     RecordWriter writer =
         new RecordWriter(runtime, writerHost, formatGate::limits, shared.leaderWriteRate());
     KnownCancellations cancellations = knownCancellations(shared.watermark());
@@ -91,9 +94,17 @@
             assignments,
             machines,
             shared.machineTypes(),
-            preemptionRate,
-            term.token()),
-        new HeartbeatCommands(assignments, cancellations, term.token()));
+            preemptionRate),
+        newHeartbeatCommands(runtime, writer, assignments, cancellations));
+  }
+
+  private static HeartbeatCommands newHeartbeatCommands(
+      CoreRuntime runtime,
+      RecordWriter writer,
+      TaskAssignments assignments,
+      KnownCancellations cancellations) {
+    StartFencing fencing = new StartFencing(runtime, writer::committedRevision);
+    return new HeartbeatCommands(runtime, assignments, cancellations, fencing);
   }
 
   private static TaskAssignments newAssignments(
--- a/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
+++ b/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
@@ -139,8 +139,8 @@
 
   private void answer(long exchange, Machine machine, Heartbeat heartbeat, List<Command> commands) {
     log(heartbeat, "renewed");
-    CommandLog.write(runtime, "answer", machine, heartbeat.agentEpoch(), term.token(), commands);
-    runtime.answer(exchange, OK, Command.heartbeatResponse(term.token(), commands));
+    CommandLog.write(runtime, "answer", machine, heartbeat.agentEpoch(), commands);
+    runtime.answer(exchange, OK, Command.heartbeatResponse(machine.fence.token(), commands));
   }
 
   private void refuse(long exchange, Heartbeat heartbeat, String reason) {
--- a/src/main/java/org/snowturn/core/leader/LeaderGauges.java
+++ b/src/main/java/org/snowturn/core/leader/LeaderGauges.java
@@ -50,7 +50,10 @@
     gauges.put(
         "snowturn.placements.evaluations", (double) scheduling.scheduler().machineEvaluations());
     gauges.put("snowturn.command.queues.flushed", (double) dispatcher.flushCount());
-    gauges.put("snowturn.starts.repeated", (double) services.heartbeatCommands().repeatedStarts());
+    gauges.putAll(services.heartbeatCommands().gauges());
+    gauges.put(
+        "snowturn.heartbeats.unknown.token",
+        (double) services.heartbeatProcessor().unknownTokens());
     gauges.putAll(recovery.gauges());
     gauges.putAll(scheduling.scheduler().gauges());
     return gauges;
--- a/src/main/java/org/snowturn/core/model/CommandChannel.java
+++ b/src/main/java/org/snowturn/core/model/CommandChannel.java
@@ -19,6 +19,9 @@
   /** Discards all commands that have not been sent. */
   void discardUnsent();
 
+  /** Returns whether a message has been sent whose answer has neither arrived nor timed out. */
+  boolean isAwaitingReply();
+
   /** Returns whether there is neither a message in flight nor a command to send. */
   boolean isIdle();
 }
--- a/src/main/java/org/snowturn/core/model/Machine.java
+++ b/src/main/java/org/snowturn/core/model/Machine.java
@@ -73,11 +73,8 @@
 
   private final RunTimeRatios runTimeRatios = new RunTimeRatios();
 
-  /**
-   * Attempts whose direct start command was not answered. Since the command may still arrive, the
-   * machine is not sent a command to forget them.
-   */
-  public final LongHashSet startsInDoubt = new LongHashSet();
+  /** The fencing of the machine against direct messages that arrive late. */
+  public final CommandFence fence;
 
   private CommandChannel commands;
 
@@ -86,10 +83,12 @@
    *
    * @param index the dense index of the machine
    * @param id the id of the machine
+   * @param termToken the fencing token of the leader's term
    */
-  public Machine(int index, String id) {
+  public Machine(int index, String id, long termToken) {
     this.index = index;
     this.id = id;
+    this.fence = new CommandFence(termToken);
   }
 
   /** Returns whether one more task of the job fits beside the assigned ones. */
--- a/src/main/java/org/snowturn/core/model/MachineIndex.java
+++ b/src/main/java/org/snowturn/core/model/MachineIndex.java
@@ -14,6 +14,7 @@
   private final Map<String, Integer> byId = new HashMap<>();
   private final List<Machine> all = new ArrayList<>();
   private final List<String> zoneNames;
+  private final long termToken;
   private final Function<Machine, CommandChannel> channelFactory;
 
   /** The result of {@link #present}; null after a change. */
@@ -23,10 +24,13 @@
    * Creates an index without machines.
    *
    * @param zones the names of the configured zones
+   * @param termToken the fencing token of the leader's term
    * @param channelFactory factory for the command channel of a machine
    */
-  public MachineIndex(List<String> zones, Function<Machine, CommandChannel> channelFactory) {
+  public MachineIndex(
+      List<String> zones, long termToken, Function<Machine, CommandChannel> channelFactory) {
     this.zoneNames = List.copyOf(zones);
+    this.termToken = termToken;
     this.channelFactory = channelFactory;
   }
 
@@ -66,7 +70,7 @@
   public Machine getOrAdd(String id) {
     Machine machine = find(id);
     if (machine == null) {
-      machine = new Machine(all.size(), id);
+      machine = new Machine(all.size(), id, termToken);
       machine.setZone(zoneNames.size());
       machine.setCommands(channelFactory.apply(machine));
       all.add(machine);
--- a/src/main/java/org/snowturn/core/storage/RecordWriter.java
+++ b/src/main/java/org/snowturn/core/storage/RecordWriter.java
@@ -11,7 +11,11 @@
 import java.util.function.Supplier;
 import org.snowturn.config.Settings;
 import org.snowturn.core.effects.CoreRuntime;
+import org.snowturn.core.effects.LogEvent;
+import org.snowturn.core.effects.LogField;
 import org.snowturn.core.effects.StateReply;
+import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.StateMessage;
 import org.snowturn.wire.StateMessage.Change;
 import org.snowturn.wire.StateMessage.Condition;
 
@@ -101,6 +105,7 @@
   private final WriteQueue queue = new WriteQueue();
   private final WriteBudget budget;
   private final BatchSettlement settlement;
+  private long committedRevision;
   private boolean isRecordBatchNext;
   private long nextOverdueBackgroundAtMs;
 
@@ -128,6 +133,25 @@
     }
   }
 
+  /**
+   * Returns the highest known revision of this term's executed transactions; 0 if there is none. At
+   * that revision the leader key still had this term's version.
+   */
+  public long committedRevision() {
+    return committedRevision;
+  }
+
+  private void recordCommit(StateReply reply) {
+    if (!reply.isOk()) {
+      return;
+    }
+    try {
+      committedRevision = Math.max(committedRevision, StateMessage.revision(reply.body()));
+    } catch (MalformedException e) {
+      runtime.events().unreadable(LogEvent.REPLY_MALFORMED, LogField.REQUEST, "transaction", e);
+    }
+  }
+
   /** Returns whether the leader's term is over. */
   public boolean isTermOver() {
     return host.isTermOver();
@@ -308,6 +332,7 @@
 
   private void onReply(Transaction transaction, StateReply reply) {
     budget.onCallEnded();
+    recordCommit(reply);
     if (reply.isRefused()) {
       budget.pauseUntil(runtime.now() + PAUSE_AFTER_REFUSAL_MS);
       transactions.get(transaction.priority).addFirst(transaction);
@@ -335,6 +360,7 @@
         TIMEOUT_MS,
         reply -> {
           budget.onCallEnded();
+          recordCommit(reply);
           settlement.onReply(batch, reply);
         });
     return true;
--- a/src/test/java/org/snowturn/core/RecordsTest.java
+++ b/src/test/java/org/snowturn/core/RecordsTest.java
@@ -31,7 +31,7 @@
 class RecordsTest {
   private static final int VALUE_BYTES = 2048;
 
-  private final MachineIndex machines = new MachineIndex(List.of("z"), machine -> null);
+  private final MachineIndex machines = new MachineIndex(List.of("z"), 7, machine -> null);
 
   private static JobSpec spec(int tasks, String image) throws Exception {
     return JobSpec.parse(Submissions.array("wk-000001", tasks).put("bundle", image));
--- a/src/test/java/org/snowturn/core/assignment/AttemptGuardTest.java
+++ b/src/test/java/org/snowturn/core/assignment/AttemptGuardTest.java
@@ -33,7 +33,7 @@
 
   private final CoreRuntime runtime = new CoreRuntime(1);
   private final MachineIndex machines =
-      new MachineIndex(List.of("z"), machine -> new DiscardedCommands());
+      new MachineIndex(List.of("z"), TOKEN, machine -> new DiscardedCommands());
   private final AttemptGuard guard = new AttemptGuard(runtime, machines, TOKEN, LEASE_EXPIRY_MS);
   private final Machine machine = machines.getOrAdd("i-1");
   private Job job;
@@ -54,6 +54,11 @@
     @Override
     public void discardUnsent() {}
 
+    @Override
+    public boolean isAwaitingReply() {
+      return false;
+    }
+
     @Override
     public boolean isIdle() {
       return true;
--- a/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
+++ b/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
@@ -50,13 +50,16 @@
   private final CoreRuntime runtime = new CoreRuntime(1);
   private final FakeCancellations cancellations = new FakeCancellations();
   private final MachineIndex machines =
-      new MachineIndex(List.of("z"), machine -> new CommandQueue(runtime, HOST, machine));
+      new MachineIndex(List.of("z"), TOKEN, machine -> new CommandQueue(runtime, HOST, machine));
   private final TaskAssignments assignments;
   private final HeartbeatProcessor heartbeats;
   private final HeartbeatCommands heartbeatCommands;
   private final Machine machine;
   private long now = 1_000_000;
 
+  /** Revision of the leader's latest transaction; 0 as long as no transaction was executed. */
+  private long revision;
+
   /** Known cancellations that are set by the tests. */
   private final class FakeCancellations implements KnownCancellations {
     private final Set<String> jobs = new HashSet<>();
@@ -85,11 +88,6 @@
           return true;
         }
 
-        @Override
-        public long token() {
-          return TOKEN;
-        }
-
         @Override
         public void onHeartbeat(Heartbeat heartbeat) {}
 
@@ -122,9 +120,10 @@
             assignments,
             machines,
             new MachineTypes(runtime),
-            new PreemptionRate(),
-            TOKEN);
-    heartbeatCommands = new HeartbeatCommands(assignments, cancellations, TOKEN);
+            new PreemptionRate());
+    heartbeatCommands =
+        new HeartbeatCommands(
+            runtime, assignments, cancellations, new StartFencing(runtime, () -> revision));
     machine = machines.getOrAdd("i-1");
     runtime.setTime(now, now);
     heartbeats.apply(machine, report(1, List.of()));
@@ -135,7 +134,11 @@
   }
 
   private Heartbeat report(long seq, List<TaskStatus> tasks) {
-    return new Heartbeat("i-1", "a:1", "t8", "z", true, 1, seq, TOKEN, Double.NaN, tasks);
+    return report(seq, TOKEN, tasks);
+  }
+
+  private Heartbeat report(long seq, long seenToken, List<TaskStatus> tasks) {
+    return new Heartbeat("i-1", "a:1", "t8", "z", true, 1, seq, seenToken, Double.NaN, tasks);
   }
 
   private void record(JobStatus.Phase phase, long stamp) throws Exception {
@@ -161,6 +164,10 @@
         .anyMatch(command -> command.op() == Command.Op.STOP && command.job().equals(job));
   }
 
+  private static boolean hasForget(HeartbeatCommands.Answer answer) {
+    return answer.commands().stream().anyMatch(command -> command.op() == Command.Op.FORGET);
+  }
+
   private static boolean hasStart(HeartbeatCommands.Answer answer) {
     return answer.commands().stream().anyMatch(command -> command.op() == Command.Op.START);
   }
@@ -238,7 +245,7 @@
   @Test
   void aStartInDoubtOfACancelledJobIsNotRepeatedAndLimitsRenewals() throws Exception {
     Job job = startJob();
-    machine.startsInDoubt.add(CommandQueue.attemptKey(job.attemptOf(0), 0));
+    machine.fence.recordDirectStart(job.attemptOf(0), 0);
     cancellations.knownUntil = now - 300;
     learnOfCancellation(CancellationSource.PEER_AND_JOB_RECORD);
     for (int second = 0; second < 40; second++) {
@@ -271,10 +278,68 @@
     assertFalse(job.isAssigned(0));
   }
 
+  /** A late copy of the start would run the attempt again after the machine has forgotten it. */
+  @Test
+  void anEndedAttemptWithADirectStartIsForgottenOnlyUnderAHigherToken() throws Exception {
+    Job job = startJob();
+    long attempt = job.attemptOf(0);
+    machine.fence.recordDirectStart(attempt, 0);
+    assertFalse(hasForget(answer(report(2, List.of(status(JOB, attempt, State.ENDED))))));
+    assertFalse(job.isAssigned(0), "its end is proven");
+    revision = TOKEN;
+    assertFalse(hasForget(answer(report(3, List.of(status(JOB, attempt, State.ENDED))))));
+    revision = TOKEN + 5;
+    assertTrue(hasForget(answer(report(4, List.of(status(JOB, attempt, State.ENDED))))));
+    assertEquals(TOKEN + 5, machine.fence.token());
+    long next = attempt + 1;
+    machine.fence.recordDirectStart(next, 0);
+    assertFalse(hasForget(answer(report(5, List.of(status(JOB, next, State.ENDED))))));
+  }
+
+  /** The machine would refuse a message that its answer overtakes, and the start would be late. */
+  @Test
+  void theTokenStaysWhileADirectMessageIsInFlight() throws Exception {
+    long attempt = startJob().attemptOf(0);
+    machine.fence.recordDirectStart(attempt, 0);
+    revision = TOKEN + 5;
+    machine.setAddress("a:1");
+    machine.commands().probe();
+    ((CommandQueue) machine.commands()).flush();
+    assertTrue(machine.commands().isAwaitingReply());
+    assertFalse(hasForget(answer(report(2, List.of(status(JOB, attempt, State.ENDED))))));
+    assertEquals(TOKEN, machine.fence.token());
+  }
+
+  @Test
+  void aRaisedTokenVoidsTheStartOfACancelledJob() throws Exception {
+    Job job = startJob();
+    machine.fence.recordDirectStart(job.attemptOf(0), 0);
+    learnOfCancellation(CancellationSource.PEER_AND_JOB_RECORD);
+    now += 2 * SLACK_MS;
+    runtime.setTime(now, now);
+    assertFalse(answer(report(2, List.of())).renewsLease());
+    revision = TOKEN + 5;
+    assertTrue(answer(report(3, List.of())).renewsLease());
+    assertTrue(job.isAssigned(0), "the machine has not shown that it has seen the higher token");
+    answer(report(4, TOKEN + 5, List.of()));
+    assertFalse(job.isAssigned(0));
+  }
+
+  @Test
+  void aTokenOfAnotherLeaderProvesNothing() throws Exception {
+    Job job = startJob();
+    for (long seen : new long[] {TOKEN - 1, TOKEN + 1, TOKEN + 1, Long.MAX_VALUE}) {
+      long sequence = machine.session.heartbeatSequence() + 1;
+      answer(report(sequence, seen, List.of(status(JOB, job.attemptOf(0), State.ENDED))));
+      assertTrue(job.isAssigned(0));
+    }
+    assertEquals(2, heartbeats.unknownTokens(), "each unknown token is counted once");
+  }
+
   @Test
   void aStartInDoubtOfALiveJobIsRepeated() throws Exception {
     Job job = startJob();
-    machine.startsInDoubt.add(CommandQueue.attemptKey(job.attemptOf(0), 0));
+    machine.fence.recordDirectStart(job.attemptOf(0), 0);
     HeartbeatCommands.Answer answer = answer(report(2, List.of()));
     assertTrue(
         answer.renewsLease() && hasStart(answer) && !hasStop(answer, JOB), answer.toString());
@@ -304,7 +369,7 @@
       }
       if (seq == 500) {
         cancellations.knownUntil = now;
-        machine.startsInDoubt.add(CommandQueue.attemptKey(attempt, 0));
+        machine.fence.recordDirectStart(attempt, 0);
         learnOfCancellation(CancellationSource.PEER_AND_JOB_RECORD);
         cancelled = true;
       }
--- a/src/test/java/org/snowturn/core/health/AttemptSnapshotTest.java
+++ b/src/test/java/org/snowturn/core/health/AttemptSnapshotTest.java
@@ -17,6 +17,7 @@
 /** Checks which evidence proves the end of an attempt, and that weaker evidence is rejected. */
 class AttemptSnapshotTest {
   private static final long TOKEN = 9;
+  private static final long LATEST_TOKEN = 12;
   private static final long AGENT_EPOCH = 4;
   private static final long LEASE_RENEWED_AT = 1_000;
   private static final long LEASE_EXPIRY_MS = 10_000;
@@ -33,6 +34,7 @@
     AttemptSnapshot attempt =
         new AttemptSnapshot(
             TOKEN,
+            LATEST_TOKEN,
             now,
             AGENT_EPOCH,
             durable,
@@ -49,7 +51,9 @@
   @Test
   void reportedEndNeedsPresentTokenSameAgentEpochAndDurablePlacement() {
     assertEquals(true, proves(new ReportedEnded(TOKEN, AGENT_EPOCH)));
+    assertEquals(true, proves(new ReportedEnded(LATEST_TOKEN, AGENT_EPOCH)));
     assertEquals(false, proves(new ReportedEnded(TOKEN - 1, AGENT_EPOCH)));
+    assertEquals(false, proves(new ReportedEnded(LATEST_TOKEN + 1, AGENT_EPOCH)));
     assertEquals(false, proves(new ReportedEnded(TOKEN, AGENT_EPOCH + 1)));
     assertEquals(false, proves(new ReportedEnded(TOKEN, AGENT_EPOCH - 1)));
     durable = false;
--- a/src/test/java/org/snowturn/core/model/JobMemoryTest.java
+++ b/src/test/java/org/snowturn/core/model/JobMemoryTest.java
@@ -30,7 +30,7 @@
   private static final int MEASUREMENTS = 20;
 
   private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
-  private final MachineIndex machines = new MachineIndex(List.of("z"), machine -> null);
+  private final MachineIndex machines = new MachineIndex(List.of("z"), 7, machine -> null);
 
   @Test
   void aWaitingJobTakesTheSameMemoryWithOneTaskAndWithTheMostTasks() throws Exception {
--- a/src/test/java/org/snowturn/core/recovery/ReconciliationExplorer.java
+++ b/src/test/java/org/snowturn/core/recovery/ReconciliationExplorer.java
@@ -43,36 +43,37 @@
   private static final int FIRST_MACHINE = 5;
 
   // Fields of each machine: agent epoch, token, states of the attempts, direct starts in flight
-  // (each by the agent epoch that it is meant for, or 0), the answer in flight (0, or the ordinal
-  // of the verdict to execute plus 1, and its attempt), and the report in flight.
+  // (each by the agent epoch that it is meant for, or 0) and their tokens, the answer in flight (0,
+  // or the ordinal of the verdict to execute plus 1, its attempt and its token), and the report in
+  // flight.
   private static final int EPOCH = 0;
   private static final int TOKEN = 1;
   private static final int ATTEMPT_STATES = 2;
   private static final int STARTS_IN_FLIGHT = ATTEMPT_STATES + ATTEMPTS;
-  private static final int ANSWER = STARTS_IN_FLIGHT + ATTEMPTS;
+  private static final int START_TOKENS = STARTS_IN_FLIGHT + ATTEMPTS;
+  private static final int ANSWER = START_TOKENS + ATTEMPTS;
   private static final int ANSWER_ATTEMPT = ANSWER + 1;
-  private static final int REPORT = ANSWER_ATTEMPT + 1;
+  private static final int ANSWER_TOKEN = ANSWER + 2;
+  private static final int REPORT = ANSWER + 3;
   private static final int REPORT_EPOCH = REPORT + 1;
   private static final int REPORT_TOKEN = REPORT + 2;
   private static final int REPORT_ATTEMPT_STATES = REPORT + 3;
 
-  /**
-   * Whether a direct start was in flight when the report was sent, or was executed since. The
-   * answer to the start is newer than the report, so the leader knows that the report does not
-   * cover it.
-   */
-  private static final int REPORT_STARTS_IN_FLIGHT = REPORT_ATTEMPT_STATES + ATTEMPTS;
-
   /** Newest agent epoch of the machine that the leader has heard. */
-  private static final int LAST_HEARD_EPOCH = REPORT_STARTS_IN_FLIGHT + ATTEMPTS;
+  private static final int LAST_HEARD_EPOCH = REPORT_ATTEMPT_STATES + ATTEMPTS;
 
   /** Whether the leader has heard that epoch under the new token. */
   private static final int TOKEN_ACKNOWLEDGED = LAST_HEARD_EPOCH + 1;
 
-  private static final int MACHINE_SIZE = TOKEN_ACKNOWLEDGED + 1;
+  /** Token of the leader's messages to the machine. */
+  private static final int LEADER_TOKEN = TOKEN_ACKNOWLEDGED + 1;
 
+  private static final int MACHINE_SIZE = LEADER_TOKEN + 1;
+
+  // The new leader can raise its token once for each machine.
   private static final int OLD_TOKEN = 1;
   private static final int NEW_TOKEN = 2;
+  private static final int RAISED_TOKEN = 3;
   private static final int FIRST_EPOCH = 1;
   private static final int LAST_EPOCH = 2;
 
@@ -104,8 +105,10 @@
       start[index(machine, EPOCH)] = FIRST_EPOCH;
       start[index(machine, TOKEN)] = OLD_TOKEN;
       start[index(machine, LAST_HEARD_EPOCH)] = FIRST_EPOCH;
+      start[index(machine, LEADER_TOKEN)] = NEW_TOKEN;
     }
     start[index(0, STARTS_IN_FLIGHT)] = FIRST_EPOCH; // the previous leader's direct start
+    start[index(0, START_TOKENS)] = OLD_TOKEN;
     visit(start);
     while (!frontier.isEmpty() && violation == null) {
       int[] state = frontier.poll();
@@ -154,11 +157,9 @@
         lost[index(machine, STARTS_IN_FLIGHT + attempt)] = 0;
         visit(lost);
         int[] next = lost.clone();
-        int token = attempt == 0 ? OLD_TOKEN : NEW_TOKEN;
+        int token = state[index(machine, START_TOKENS + attempt)];
         if (epoch == state[index(machine, EPOCH)] && token >= state[index(machine, TOKEN)]) {
           next[index(machine, TOKEN)] = token;
-          // The answer to the start overtakes a report in flight.
-          next[index(machine, REPORT_STARTS_IN_FLIGHT + attempt)] = 1;
           startAttempt(next, machine, attempt);
           visit(next);
           // A copy of the start may arrive later.
@@ -190,23 +191,22 @@
           next,
           index(machine, REPORT_ATTEMPT_STATES),
           ATTEMPTS);
-      System.arraycopy(
-          state,
-          index(machine, STARTS_IN_FLIGHT),
-          next,
-          index(machine, REPORT_STARTS_IN_FLIGHT),
-          ATTEMPTS);
       visit(next);
     }
     if (state[index(machine, ANSWER)] > 0) {
       int[] lost = state.clone();
       lost[index(machine, ANSWER)] = 0;
+      lost[index(machine, ANSWER_ATTEMPT)] = 0;
+      lost[index(machine, ANSWER_TOKEN)] = 0;
       visit(lost);
       if (state[index(machine, REPORT_EPOCH)] != state[index(machine, EPOCH)]) {
         return; // the machine drops answers to reports of an earlier agent epoch
       }
+      if (state[index(machine, ANSWER_TOKEN)] < state[index(machine, TOKEN)]) {
+        return; // the machine drops answers with a lower token than it has seen
+      }
       int[] next = lost.clone();
-      next[index(machine, TOKEN)] = NEW_TOKEN;
+      next[index(machine, TOKEN)] = state[index(machine, ANSWER_TOKEN)];
       int command = state[index(machine, ANSWER)] - 1;
       int commandAttempt = state[index(machine, ANSWER_ATTEMPT)];
       if (command == Verdict.START.ordinal()) {
@@ -247,6 +247,7 @@
       next[PLACED_IN_EPOCH] = state[index(machine, LAST_HEARD_EPOCH)];
       next[STOPPING] = 0;
       next[index(machine, STARTS_IN_FLIGHT + next[ATTEMPT] - 1)] = next[PLACED_IN_EPOCH];
+      next[index(machine, START_TOKENS + next[ATTEMPT] - 1)] = next[index(machine, LEADER_TOKEN)];
       visit(next);
     }
     if (state[STORED] == Stored.STARTED.ordinal() && state[STOPPING] == 0) {
@@ -263,7 +264,7 @@
       visit(next); // older than the newest report
       return;
     }
-    boolean hasPresentToken = state[index(machine, REPORT_TOKEN)] == NEW_TOKEN;
+    boolean hasPresentToken = state[index(machine, REPORT_TOKEN)] >= NEW_TOKEN;
     boolean isSameEpoch =
         state[index(machine, REPORT_EPOCH)] == state[index(machine, LAST_HEARD_EPOCH)];
     next[index(machine, TOKEN_ACKNOWLEDGED)] =
@@ -280,10 +281,29 @@
         next[STORED] = Stored.FINISHED.ordinal();
       }
     }
-    // The answer carries the token and at most one command. All possible commands are tried.
+    visitAnswers(next, machine, hasPresentToken);
+    if (listsEndedAttemptNotFenced(next, machine)) {
+      int[] raised = next.clone();
+      raised[index(machine, LEADER_TOKEN)] = RAISED_TOKEN;
+      visitAnswers(raised, machine, hasPresentToken);
+    }
+  }
+
+  private static boolean listsEndedAttemptNotFenced(int[] state, int machine) {
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      if (state[index(machine, REPORT_ATTEMPT_STATES + attempt)] > ALIVE
+          && state[index(machine, START_TOKENS + attempt)] >= state[index(machine, LEADER_TOKEN)]) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Visits the states after each possible answer, which carries the token and a command. */
+  private void visitAnswers(int[] state, int machine, boolean hasPresentToken) {
     List<int[]> answers = new ArrayList<>();
     for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
-      Verdict verdict = verdict(next, machine, attempt, hasPresentToken);
+      Verdict verdict = verdict(state, machine, attempt, hasPresentToken);
       boolean isCommand =
           verdict == Verdict.START || verdict == Verdict.STOP || verdict == Verdict.FORGET;
       boolean isListed = state[index(machine, REPORT_ATTEMPT_STATES + attempt)] != NOT_LISTED;
@@ -293,9 +313,17 @@
     }
     answers.add(new int[] {Verdict.KEEP.ordinal(), 0});
     for (int[] answer : answers) {
-      int[] answered = next.clone();
+      int[] answered = state.clone();
+      // Handled, so that states that differ only in the content of the report are the same.
+      answered[index(machine, REPORT_TOKEN)] = 0;
+      Arrays.fill(
+          answered,
+          index(machine, REPORT_ATTEMPT_STATES),
+          index(machine, REPORT_ATTEMPT_STATES + ATTEMPTS),
+          NOT_LISTED);
       answered[index(machine, ANSWER)] = answer[0] + 1;
       answered[index(machine, ANSWER_ATTEMPT)] = answer[1];
+      answered[index(machine, ANSWER_TOKEN)] = state[index(machine, LEADER_TOKEN)];
       visit(answered);
     }
   }
@@ -326,10 +354,13 @@
             : state[index(machine, REPORT_EPOCH)] > state[PLACED_IN_EPOCH]
                 ? EpochOrder.LATER
                 : EpochOrder.EARLIER;
-    boolean settled =
-        state[index(machine, STARTS_IN_FLIGHT + attempt)] == 0
-            && (reported != Reported.ABSENT
-                || state[index(machine, REPORT_STARTS_IN_FLIGHT + attempt)] == 0);
+    // What the leader knows: whether the machine has seen a higher token than that of the start, or
+    // will have seen it when it executes the answer.
+    int fencedBelow =
+        reported == Reported.ABSENT
+            ? state[index(machine, REPORT_TOKEN)]
+            : state[index(machine, LEADER_TOKEN)];
+    boolean settled = state[index(machine, START_TOKENS + attempt)] < fencedBelow;
     Stored stored = isPlacedHere || !current.isPlacedHere() ? current : Stored.ELSEWHERE;
     return decisionTable.apply(
         new Case(
--- a/src/test/java/org/snowturn/core/scheduling/AgingTest.java
+++ b/src/test/java/org/snowturn/core/scheduling/AgingTest.java
@@ -20,7 +20,7 @@
  * scheduling order places first, and against long-waiting jobs getting more than their share.
  */
 class AgingTest {
-  private static final Machine MACHINE = new Machine(0, "i-000001");
+  private static final Machine MACHINE = new Machine(0, "i-000001", 7);
 
   private static final double MAX_WAIT_S = 90;
   private static final long STEP_MS = 250;
--- a/src/test/java/org/snowturn/core/scheduling/SpeculatorTest.java
+++ b/src/test/java/org/snowturn/core/scheduling/SpeculatorTest.java
@@ -37,7 +37,7 @@
 
   @Test
   void slownessIsTheMedianRatioAndOneBeforeThereAreAny() {
-    Machine machine = new Machine(0, "i-1");
+    Machine machine = new Machine(0, "i-1", 7);
     assertEquals(1, machine.slowness());
     for (double ratio : new double[] {3, 1, 2}) {
       machine.recordRunTimeRatio(ratio);
