Copies of executed commands in the drawn and aimed faults and in the soak

Cause: no drawn fault delivered a direct message again that had been executed and answered, so nothing could meet the incident. Soak plan copied-commands.txt runs in the build. A leader has several tokens now: the testbench counts terms instead of tokens.

--- a/src/test/java/org/snowturn/testbench/SoakRunTest.java
+++ b/src/test/java/org/snowturn/testbench/SoakRunTest.java
@@ -71,6 +71,13 @@
     assertEquals(List.of(), run(plan, "org.snowturn.daemon.Main").play().details());
   }
 
+  /** Guards against answered starts that arrive once more and run an ended attempt again. */
+  @Test
+  void copiesOfAnsweredStartsRunNoEndedAttempt() throws Exception {
+    SoakPlan plan = SoakPlan.read(Path.of("src/test/resources/soak/copied-commands.txt"));
+    assertEquals(List.of(), run(plan, "org.snowturn.daemon.Main").play().details());
+  }
+
   /**
    * Guards against controllers that end for memory, one leader after the other, when many arrays of
    * the largest size are accepted (docs/incidents/arrays-fill-the-heap.md).
--- a/src/testbench/java/org/snowturn/simulation/LoopbackCluster.java
+++ b/src/testbench/java/org/snowturn/simulation/LoopbackCluster.java
@@ -57,7 +57,7 @@
   private final List<XnioWorker> ioWorkers = new ArrayList<>();
   private final LoadGenerator loadGenerator;
   private final DirectedLinks links;
-  private final Set<Long> tokensSeen = new HashSet<>();
+  private final Set<Long> termsSeen = new HashSet<>();
   private int workersPort;
   private long lastStartCount;
   private long lastStartAt;
@@ -212,7 +212,7 @@
     cluster.after(PROBE_INTERVAL_MS, this::probe);
   }
 
-  /** Updates the longest pause between task starts and the tokens seen, now and at intervals. */
+  /** Updates the longest pause between task starts and the terms seen, now and at intervals. */
   private void sample() {
     if (cluster.invariants.startedTasks != lastStartCount) {
       lastStartCount = cluster.invariants.startedTasks;
@@ -220,7 +220,7 @@
     } else if (isTrackingPauses) {
       longestPauseMs = Math.max(longestPauseMs, cluster.now - lastStartAt);
     }
-    cluster.workers.values().forEach(worker -> tokensSeen.add(worker.token()));
+    cluster.workers.values().forEach(worker -> termsSeen.add(worker.term()));
     cluster.after(SAMPLE_INTERVAL_MS, this::sample);
   }
 
@@ -348,7 +348,7 @@
         workersUp,
         loadGenerator.finishedJobs(),
         lastAnsweringController(),
-        tokensSeen.size(),
+        termsSeen.size(),
         longestPauseMs,
         cluster.state.writes,
         cluster.state.requests,
--- a/src/testbench/java/org/snowturn/simulation/LoopbackFaults.java
+++ b/src/testbench/java/org/snowturn/simulation/LoopbackFaults.java
@@ -85,6 +85,12 @@
     applyTemporarily(ms, () -> cluster.delayCommands(delayMs), () -> cluster.delayCommands(0));
   }
 
+  /** Delivers each executed direct message once more, {@code delayMs} later. */
+  public void duplicateCommands(long delayMs, long ms) {
+    applyTemporarily(
+        ms, () -> cluster.duplicateCommands(delayMs), () -> cluster.duplicateCommands(0));
+  }
+
   /** Delivers a copy of each heartbeat once more, up to {@code maxDelayMs} later. */
   public void duplicateHeartbeats(long maxDelayMs, long ms) {
     applyTemporarily(
--- a/src/testbench/java/org/snowturn/simulation/LoopbackStatus.java
+++ b/src/testbench/java/org/snowturn/simulation/LoopbackStatus.java
@@ -11,8 +11,8 @@
  * @param workersUp the number of machines whose worker is alive
  * @param finishedJobs the number of jobs that users have seen in a terminal phase
  * @param leader the controller that last accepted a heartbeat, or null if none has
- * @param tokensSeen the number of distinct tokens seen by workers: one more than the number of
- *     leader changes
+ * @param termsSeen the number of distinct terms whose tokens workers have seen: one more than the
+ *     number of leader changes
  * @param longestPauseMs the longest time without a task start since the arrivals began, in
  *     milliseconds
  * @param stateWrites the number of writes requested from the state service
@@ -30,7 +30,7 @@
     int workersUp,
     long finishedJobs,
     String leader,
-    int tokensSeen,
+    int termsSeen,
     long longestPauseMs,
     long stateWrites,
     long stateRequests,
--- a/src/testbench/java/org/snowturn/simulation/OverlappingFaults.java
+++ b/src/testbench/java/org/snowturn/simulation/OverlappingFaults.java
@@ -36,6 +36,9 @@
     at(5, "submit wk-000031..wk-000034 batch tasks=3 cpus=1 run=9 straggler=2:33 one-zone=1");
     faultPhase(18 + random.nextDouble(6), 100);
     faultPhase(75 + random.nextDouble(20), 200);
+    if (random.nextInt(3) == 0) {
+      addFault(16 + random.nextDouble(60), "duplicate-commands " + copyDelay() + " 40");
+    }
     text.add("until " + (int) (faultsEndS + 200));
     text.add("expect all-over");
     return text;
@@ -49,6 +52,11 @@
     return String.format(Locale.ROOT, "%.2f", min + random.nextDouble(max - min));
   }
 
+  /** Returns the delay of copies in seconds: about 0.3 to 90, short and long ones as likely. */
+  private String copyDelay() {
+    return String.format(Locale.ROOT, "%.2f", 0.3 * Math.pow(300, random.nextDouble()));
+  }
+
   /** Adds a fault; the largest number among its words is its duration. */
   private void addFault(double atS, String event) {
     at(atS, event);
--- a/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
@@ -620,6 +620,7 @@
           return;
         }
         directMessages++;
+        TokenOwnership.check(SimulatedCluster.this, name, call.body().path("baton").asLong());
         probes += call.body().path("orders").isEmpty() ? 1 : 0;
         if (worker != null) {
           worker.handleCommand(call.body(), sentAt, reply);
--- a/src/testbench/java/org/snowturn/simulation/SimulatedStateService.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedStateService.java
@@ -274,9 +274,19 @@
     return kv.containsKey(LEADER_KEY) ? leaderByToken.get(kv.get(LEADER_KEY).revision) : null;
   }
 
-  /** Returns the name of the leader that held a token, or null. */
+  /**
+   * Returns the name of the leader that may use a token, or null. A leader's tokens begin with the
+   * version of its leader key and end before that of the next leader's.
+   */
   String leaderUnder(long token) {
-    return leaderByToken.get(token);
+    Map.Entry<Long, String> term = leaderByToken.floorEntry(token);
+    return term == null ? null : term.getValue();
+  }
+
+  /** Returns the first token of the term that a token belongs to; 0 if there is no such term. */
+  long firstTokenOfTerm(long token) {
+    Long first = leaderByToken.floorKey(token);
+    return first == null ? 0 : first;
   }
 
   /**
--- a/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
@@ -86,9 +86,9 @@
     }
   }
 
-  /** Returns the highest leader token received. */
-  long token() {
-    return token;
+  /** Returns the first token of the latest term that the machine has heard of; 0 if of none. */
+  long term() {
+    return cluster.state.firstTokenOfTerm(token);
   }
 
   /** Returns whether the machine still has a task, in any phase. */
@@ -216,6 +216,7 @@
       return;
     }
     long answeredToken = reply.path("baton").asLong();
+    TokenOwnership.check(cluster, cluster.endpoints.get(endpointIndex).name, answeredToken);
     if (answeredToken >= token && sessionAtSend == session) {
       updateToken(answeredToken);
       leaseRenewedAt = Math.max(leaseRenewedAt, sentAt);
--- a/src/testbench/java/org/snowturn/simulation/TargetedFaults.java
+++ b/src/testbench/java/org/snowturn/simulation/TargetedFaults.java
@@ -35,6 +35,9 @@
       case 5 -> heartbeatsOfEarlierSessions();
       default -> delayedStartsOfCancelledJobs();
     }
+    if (random.nextBoolean()) {
+      at(between(5, 12), "duplicate-commands %.2f 60", 0.3 * Math.pow(200, random.nextDouble()));
+    }
     text.add("until 260");
     text.add("expect all-over");
     return text;
--- a/src/testbench/java/org/snowturn/testbench/FaultInjector.java
+++ b/src/testbench/java/org/snowturn/testbench/FaultInjector.java
@@ -62,7 +62,7 @@
     long endMs = 0;
     for (SoakFault fault : plannedFaults) {
       scheduled.add(new ScheduledAction(fault.atMs(), () -> inject(fault)));
-      endMs = Math.max(endMs, fault.atMs() + fault.durationMs());
+      endMs = Math.max(endMs, fault.effectEndsMs());
     }
     while (!scheduled.isEmpty() || nowMs() < endMs) {
       ScheduledAction next = earliest();
@@ -112,6 +112,7 @@
       case LOSE_ANSWERS -> faults.loseStateReplies(fault.amount(), fault.durationMs());
       case LATE_TRANSACTIONS -> faults.delayTransactions(fault.amount(), fault.durationMs());
       case LATE_COMMANDS -> faults.delayCommands(amountMs(fault), fault.durationMs());
+      case COPY_COMMANDS -> faults.duplicateCommands(amountMs(fault), fault.durationMs());
       case COPY_REPORTS -> faults.duplicateHeartbeats(amountMs(fault), fault.durationMs());
       case SLOW_REPORTS -> faults.delayHeartbeats(amountMs(fault), fault.durationMs());
       case HANG_WORKERS -> faults.hangWorkers((int) fault.amount(), fault.durationMs());
--- a/src/testbench/java/org/snowturn/testbench/ScaleResult.java
+++ b/src/testbench/java/org/snowturn/testbench/ScaleResult.java
@@ -100,7 +100,7 @@
       figures.put(
           "state_changes_per_s", (after.stateWrites() - before.stateWrites()) / loadDurationS);
       figures.put("state_refused", (double) (after.stateRefusals() - before.stateRefusals()));
-      figures.put("leader_changes", (double) (after.tokensSeen() - before.tokensSeen()));
+      figures.put("leader_changes", (double) (after.termsSeen() - before.termsSeen()));
       figures.put("longest_pause_s", after.longestPauseMs() / 1000.0);
       figures.put("rules_broken", (double) after.violations().size());
       figures.put("fill_s", fillS);
--- a/src/testbench/java/org/snowturn/testbench/SoakFault.java
+++ b/src/testbench/java/org/snowturn/testbench/SoakFault.java
@@ -54,6 +54,11 @@
     LATE_TRANSACTIONS,
     /** Direct commands to workers are delayed; the amount is the minimum delay in seconds. */
     LATE_COMMANDS,
+    /**
+     * Each executed direct message arrives a second time; the amount is the delay of the copy in
+     * seconds.
+     */
+    COPY_COMMANDS,
     /** Each heartbeat arrives a second time; the amount is the maximum delay in seconds. */
     COPY_REPORTS,
     /** Heartbeats are delayed; the amount is the delay in seconds. */
@@ -99,6 +104,12 @@
   /** Target of faults whose kind does not take one. */
   static final String NO_TARGET = "-";
 
+  /** Returns the time from the start of the load until the fault has no more effect, in ms. */
+  long effectEndsMs() {
+    long copyDelayMs = kind == Kind.COPY_COMMANDS ? Math.round(amount * MS_PER_S) : 0;
+    return atMs + durationMs + copyDelayMs;
+  }
+
   /** Returns the line for this fault in a plan file. */
   String toPlanLine() {
     return String.format(
--- a/src/testbench/java/org/snowturn/testbench/SoakPlan.java
+++ b/src/testbench/java/org/snowturn/testbench/SoakPlan.java
@@ -25,13 +25,25 @@
  * @param faults the faults in the order of their times
  */
 record SoakPlan(long seed, int workers, int durationS, List<SoakFault> faults) {
-  /** The kinds that each fault of a plan is drawn from. */
+  /** The kinds that each fault of a plan is drawn from; the others are drawn after all of these. */
   private static final List<Kind> KINDS =
-      Arrays.stream(Kind.values()).filter(kind -> kind != Kind.LARGE_ARRAYS).toList();
+      Arrays.stream(Kind.values())
+          .filter(kind -> kind != Kind.LARGE_ARRAYS && kind != Kind.COPY_COMMANDS)
+          .toList();
 
   /** On average one of this number of seeds adds large arrays to the drawn faults. */
   private static final int LARGE_ARRAYS_ONE_IN = 4;
 
+  /** On average one of this number of seeds adds copies of direct messages. */
+  private static final int COPIED_COMMANDS_ONE_IN = 2;
+
+  private static final int MAX_COPY_PHASES = 3;
+  private static final double MIN_COPY_DELAY_S = 0.3;
+  private static final double MAX_COPY_DELAY_S = 90;
+
+  /** Longest delay until a leader that is killed beside copies is restarted. */
+  private static final long MAX_QUICK_RESTART_MS = 900;
+
   private static final int MIN_LARGE_ARRAYS = 8;
   private static final int MAX_LARGE_ARRAYS = 64;
 
@@ -121,10 +133,40 @@
     if (random.nextInt(LARGE_ARRAYS_ONE_IN) == 0) {
       faults.add(randomLargeArrays(random, durationS * MS_PER_S));
     }
+    if (random.nextInt(COPIED_COMMANDS_ONE_IN) == 0) {
+      addCopiedCommands(faults, random, durationS * MS_PER_S);
+    }
     faults.sort(Comparator.comparingLong(SoakFault::atMs));
     return new SoakPlan(seed, size, durationS, List.copyOf(faults));
   }
 
+  /**
+   * Adds phases in which executed direct messages arrive once more, each with a leader that is
+   * killed and back within a second. Short and long delays of the copies are equally likely.
+   */
+  private static void addCopiedCommands(
+      List<SoakFault> faults, SplittableRandom random, long durationMs) {
+    for (int phases = random.nextInt(1, MAX_COPY_PHASES + 1); phases > 0; phases--) {
+      long atMs = random.nextLong(durationMs);
+      double delayS =
+          MIN_COPY_DELAY_S * Math.pow(MAX_COPY_DELAY_S / MIN_COPY_DELAY_S, random.nextDouble());
+      faults.add(
+          new SoakFault(
+              atMs,
+              Kind.COPY_COMMANDS,
+              SoakFault.NO_TARGET,
+              random.nextLong(3_000, 20_000),
+              delayS));
+      faults.add(
+          new SoakFault(
+              atMs + random.nextLong(MAX_OVERLAP_DELAY_MS),
+              Kind.KILL,
+              SoakFault.LEADER,
+              random.nextLong(30, MAX_QUICK_RESTART_MS),
+              0));
+    }
+  }
+
   /** Returns large arrays that are submitted early, so that most other faults meet them. */
   private static SoakFault randomLargeArrays(SplittableRandom random, long durationMs) {
     return new SoakFault(
--- a/src/testbench/java/org/snowturn/testbench/SoakRun.java
+++ b/src/testbench/java/org/snowturn/testbench/SoakRun.java
@@ -205,6 +205,6 @@
         violations,
         status.startedTasks(),
         status.finishedJobs(),
-        Math.max(0, status.tokensSeen() - 1));
+        Math.max(0, status.termsSeen() - 1));
   }
 }
