--- a/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
@@ -102,6 +102,7 @@
     images.clear();
     session = 1;
     reportSequence = 0;
+    token = 0;
     leaseRenewedAt = cluster.now;
   }
 
