Log lines tell the token of a start and the attempt of an end

Cause: the records of the incident had no line that says under which token and session a start left, nor which attempt an end belongs to; both had to be taken from the workers' side. Change: start_sent has agent_epoch and token, task_failed, task_stopped and task_ended have attempt.

--- a/src/main/java/org/snowturn/core/assignment/FailureHandler.java
+++ b/src/main/java/org/snowturn/core/assignment/FailureHandler.java
@@ -64,6 +64,7 @@
         .events()
         .info(LogEvent.TASK_FAILED)
         .with(LogField.TASK, job.spec.id() + "/" + task)
+        .with(LogField.ATTEMPT, job.attemptOf(task))
         .with(LogField.MACHINE, machine.id)
         .write();
     if (job.done() > 0) {
--- a/src/main/java/org/snowturn/core/assignment/ReportedTasks.java
+++ b/src/main/java/org/snowturn/core/assignment/ReportedTasks.java
@@ -139,6 +139,7 @@
         .events()
         .info(event)
         .with(LogField.TASK, job.spec.id() + "/" + task)
+        .with(LogField.ATTEMPT, job.attemptOf(task))
         .with(LogField.EXIT_REASON, reason.name().toLowerCase(Locale.ROOT))
         .with(LogField.MACHINE, machine.id)
         .write();
--- a/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
+++ b/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
@@ -281,6 +281,8 @@
         .with(LogField.TASK, job.spec.id() + "/" + task)
         .with(LogField.ATTEMPT, attempt)
         .with(LogField.MACHINE, machine.id)
+        .with(LogField.AGENT_EPOCH, machine.epoch())
+        .with(LogField.TOKEN, machine.fence.token())
         .write();
     machine.commands().add(startCommand(job, task));
   }
