--- a/src/main/java/org/snowturn/core/assignment/HeartbeatCommands.java
+++ b/src/main/java/org/snowturn/core/assignment/HeartbeatCommands.java
@@ -121,7 +121,7 @@
     }
     if (status.state() == TaskStatus.State.ENDED
         && assignments.isForgettable(status.job(), status.task(), status.attempt())) {
-      fencing.fence(machine, status.attempt(), status.task());
+      fencing.fence(machine, heartbeat, status.attempt(), status.task());
     }
     return switch (Reconciliation.decide(cases.caseOfListed(machine, heartbeat, status, job))) {
       case STOP ->
@@ -187,7 +187,7 @@
       // The task may be on the machine: a newer heartbeat may have listed it.
       commands.add(assignments.stopCommand(job, task));
       // A machine whose lease this answer renews refuses the start from then on.
-      return fencing.fence(machine, job.attemptOf(task), task)
+      return fencing.fence(machine, heartbeat, job.attemptOf(task), task)
           || cancellations.wouldLeaseExpireInTime(job.earliestConfirmationAt());
     }
     if (verdict == Verdict.START) {
--- a/src/main/java/org/snowturn/core/assignment/StartFencing.java
+++ b/src/main/java/org/snowturn/core/assignment/StartFencing.java
@@ -5,6 +5,7 @@
 import org.snowturn.core.effects.LogEvent;
 import org.snowturn.core.effects.LogField;
 import org.snowturn.core.model.Machine;
+import org.snowturn.wire.Heartbeat;
 
 /**
  * Raises the tokens of machines, so that starts that were sent directly are refused if they arrive
@@ -16,6 +17,12 @@
  * needs no write of its own.
  */
 public final class StartFencing {
+  /**
+   * Number of listed tasks above which a token is raised even while a direct message is in flight,
+   * so that the attempts that wait to be forgotten cannot fill a heartbeat's 64 KiB.
+   */
+  private static final int MAX_TASKS_BEFORE_RAISE = 256;
+
   private final CoreRuntime runtime;
   private final LongSupplier committedRevision;
   private long raisedTokens;
@@ -34,17 +41,19 @@
 
   /**
    * Makes the answer to the machine's heartbeat void all direct starts of an attempt, by raising
-   * the machine's token if that is needed. The token stays while a direct message is in flight,
-   * which the machine would refuse after the answer.
+   * the machine's token if that is needed. The token usually stays while a direct message is in
+   * flight, which the machine would refuse after the answer.
    *
+   * @param heartbeat the heartbeat that is answered
    * @return whether a machine that receives the answer refuses all direct starts of the attempt
    */
-  boolean fence(Machine machine, long attempt, int task) {
+  boolean fence(Machine machine, Heartbeat heartbeat, long attempt, int task) {
     if (machine.fence.isStartFenced(attempt, task)) {
       return true;
     }
-    if (!machine.commands().isAwaitingReply()
-        && machine.fence.raiseToken(committedRevision.getAsLong())) {
+    boolean mayRaise =
+        !machine.commands().isAwaitingReply() || heartbeat.tasks().size() > MAX_TASKS_BEFORE_RAISE;
+    if (mayRaise && machine.fence.raiseToken(committedRevision.getAsLong())) {
       raisedTokens++;
       logRaise(machine);
     }
--- a/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
+++ b/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -308,6 +309,8 @@
     assertTrue(machine.commands().isAwaitingReply());
     assertFalse(hasForget(answer(report(2, List.of(status(JOB, attempt, State.ENDED))))));
     assertEquals(TOKEN, machine.fence.token());
+    List<TaskStatus> manyEnded = Collections.nCopies(300, status(JOB, attempt, State.ENDED));
+    assertTrue(hasForget(answer(report(3, manyEnded))), "the list of ended tasks is bounded");
   }
 
   @Test
