--- a/src/test/java/org/snowturn/simulation/InvariantCheckerTest.java
+++ b/src/test/java/org/snowturn/simulation/InvariantCheckerTest.java
@@ -94,6 +94,12 @@
     }
   }
 
+  @Test
+  void aTokenOfNoTermOfItsSenderIsForeign() {
+    TokenOwnership.check(cluster, "n0", 5);
+    assertViolated("foreign_token");
+  }
+
   @Test
   void taskThatEndedElsewhereHasNotRunTwice() {
     JobSpec spec = accepted(Map.of("cpus", "1", "team", "u"));
