--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -17,11 +17,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.ThreadLocalRandom;
 
 /** JSON over HTTP/1.1 on loopback addresses, for the stand-ins. */
 final class Http {
@@ -40,7 +37,15 @@
         throws Exception;
   }
 
-  private static final Set<Integer> ASSIGNED = ConcurrentHashMap.newKeySet();
+  private static final int FIRST_PORT = 10_000;
+  private static final int END_PORT = 32_000;
+  private static final int PORTS_PER_PROCESS = 100;
+
+  private static int nextPort =
+      FIRST_PORT
+          + (int) (ProcessHandle.current().pid() % ((END_PORT - FIRST_PORT) / PORTS_PER_PROCESS))
+              * PORTS_PER_PROCESS;
+
   private static final ExecutorService THREADS =
       Executors.newCachedThreadPool(
           task -> {
@@ -64,13 +69,13 @@
     return JsonNodeFactory.instance.arrayNode();
   }
 
-  /** Returns a free loopback port below the usual range of outgoing connections. */
-  static int freePort() throws IOException {
-    for (int attempt = 0; attempt < 1000; attempt++) {
-      int port = ThreadLocalRandom.current().nextInt(10_000, 32_000);
-      if (!ASSIGNED.add(port)) {
-        continue;
-      }
+  /**
+   * Returns a free loopback port below the usual range of outgoing connections. Each process has a
+   * block of its own, so that runs at the same time seldom meet.
+   */
+  static synchronized int freePort() throws IOException {
+    while (nextPort < END_PORT) {
+      int port = nextPort++;
       try (ServerSocket socket =
           new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
         return port;
--- a/review/standins-2/Stage.java
+++ b/review/standins-2/Stage.java
@@ -312,7 +312,14 @@
                 leader() != null
                     && controllers.values().stream().allMatch(Controller::isReady));
     if (!isUp) {
-      throw new CannotRun("no leader within 25 s");
+      StringBuilder ended = new StringBuilder();
+      for (Controller controller : controllers.values()) {
+        if (controller.hasEndedByItself()) {
+          ended.append(", ").append(controller.name).append(" ended with status ")
+              .append(controller.exitStatus());
+        }
+      }
+      throw new CannotRun("no leader within 25 s" + ended);
     }
     record.line("process  %s leads", leader().name);
   }
