review: a late copy of a start runs a task twice after a machine's quick return

Tried: a machine is back at once without its memory, and a copy of the direct message with an old attempt's start arrives 0.2 s later.

--- a/review/standins-2/Jobs.java
+++ b/review/standins-2/Jobs.java
@@ -16,6 +16,7 @@
   private final Map<String, ObjectNode> specs = new HashMap<>();
   private final Map<String, Double> runSeconds = new HashMap<>();
   private final Set<String> results = new HashSet<>();
+  private final Set<String> failing = new HashSet<>();
   private final List<Run> running = new ArrayList<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private final Map<String, Long> cancelledAtMs = new HashMap<>();
@@ -54,6 +55,15 @@
     return runSeconds.getOrDefault(job, 10.0);
   }
 
+  /** Lets the next attempt of a task fail. */
+  synchronized void failOnce(String task) {
+    failing.add(task);
+  }
+
+  synchronized boolean failsNow(String task) {
+    return failing.remove(task);
+  }
+
   synchronized boolean hasResult(String task) {
     return results.contains(task);
   }
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.http.HttpClient;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,8 +50,12 @@
   private long leaseFrom = Jobs.nowMs();
   private long tokenChangeAt = Long.MIN_VALUE / 2;
   private boolean hasChanged;
+  private int life;
   private volatile boolean dead;
 
+  /** Direct messages with starts, as they arrived. */
+  private final List<JsonNode> startMessages = new ArrayList<>();
+
   /** Whether each task that starts here fails. */
   volatile boolean isSick;
 
@@ -114,6 +119,41 @@
     record.line("machine  %s is gone: %s", id, reason);
   }
 
+  /** The machine is back at once under its name, without its memory: a new worker. */
+  synchronized void comeBackWithoutMemory() {
+    tasks.values().forEach(task -> end(task, "machine gone"));
+    tasks.clear();
+    images.clear();
+    life++;
+    thaw = 1;
+    tally = 0;
+    baton = 0;
+    leaseFrom = Jobs.nowMs();
+    tokenChangeAt = Long.MIN_VALUE / 2;
+    record.line("machine  %s is back under its name, without its memory", id);
+    change();
+  }
+
+  /** Returns the first direct message with a start of a task; null if there was none. */
+  synchronized JsonNode startMessage(String task) {
+    for (JsonNode message : startMessages) {
+      for (JsonNode order : message.path("orders")) {
+        if (order.path("verb").asText().equals("start")
+            && order.path("flake").asText().equals(task)) {
+          return message;
+        }
+      }
+    }
+    return null;
+  }
+
+  /** A late copy of a direct message arrives. Nobody waits for its answer. */
+  void deliverCopy(JsonNode message) throws InterruptedException {
+    record.line("order    a late copy arrives at %s: %s", id, message);
+    Http.Answer answer = direct("/commands", message);
+    record.line("order    the copy is answered with %d", answer.status());
+  }
+
   boolean isDead() {
     return dead;
   }
@@ -145,6 +185,9 @@
       if (token < baton || body.path("thaw").asLong() != thaw) {
         return Http.Answer.of(409, report());
       }
+      if (body.path("orders").toString().contains("\"start\"")) {
+        startMessages.add(body);
+      }
       seeToken(token);
       execute(body.path("orders"), "direct");
       return Http.Answer.of(200, report());
@@ -191,11 +234,13 @@
     while (!dead) {
       JsonNode report;
       long session;
+      int ownLife;
       long sentAt = Jobs.nowMs();
       synchronized (this) {
         hasChanged = false;
         report = report();
         session = thaw;
+        ownLife = life;
       }
       lastSentAt = sentAt;
       String node = nodeNames.get(index);
@@ -217,7 +262,7 @@
       }
       if (answer.status() == 200 && answer.body() != null) {
         synchronized (this) {
-          if (!dead && session == thaw && answer.body().path("baton").asLong() >= baton) {
+          if (!dead && life == ownLife && session == thaw && answer.body().path("baton").asLong() >= baton) {
             leaseFrom = Math.max(leaseFrom, sentAt);
             seeToken(answer.body().path("baton").asLong());
             execute(answer.body().path("orders"), "answer");
@@ -309,7 +354,7 @@
     jobs.onStart(task.name, task.attempt, id);
     change();
     JsonNode spec = jobs.spec(job(task));
-    if (isSick) {
+    if (isSick || jobs.failsNow(task.name)) {
       end(task, "error");
     } else if (jobs.hasResult(task.name)) {
       end(task, "done");
