--- a/src/main/java/org/snowturn/core/leader/JobWatch.java
+++ b/src/main/java/org/snowturn/core/leader/JobWatch.java
@@ -80,7 +80,11 @@
 
   private void applyChanges(JsonNode body, long sentAt) {
     try {
-      StateMessage.changes(body).forEach(this::applyEntry);
+      for (StateMessage.Entry change : StateMessage.changes(body)) {
+        if (change.version() > nextRevision) {
+          applyEntry(change);
+        }
+      }
       nextRevision = Math.max(nextRevision, StateMessage.revision(body));
       watermark.onLiveJobsRead(sentAt);
       assignments.retryFinishing();
--- a/src/main/java/org/snowturn/core/model/LiveJobs.java
+++ b/src/main/java/org/snowturn/core/model/LiveJobs.java
@@ -109,16 +109,22 @@
 
   /**
    * Applies all changes between {@link #revision} and a later revision. Changes whose new revision
-   * is older than that of the cache are ignored, as their response was delayed.
+   * is older than that of the cache are ignored, as their response was delayed, and so is each
+   * change that the cache already contains: nothing is kept of a removed entry that an older
+   * version could be compared with.
    *
-   * @param changes the changed entries; those with a null value are removed
+   * @param changes the changed entries, the oldest first; those with a null value are removed
    * @param newRevision the revision up to which the changes are complete
    */
   public void applyChanges(List<StateMessage.Entry> changes, long newRevision) {
     if (newRevision < revision) {
       return;
     }
-    changes.forEach(this::apply);
+    for (StateMessage.Entry change : changes) {
+      if (change.version() > revision) {
+        apply(change);
+      }
+    }
     revision = newRevision;
   }
 
--- a/src/main/java/org/snowturn/wire/StateMessage.java
+++ b/src/main/java/org/snowturn/wire/StateMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** Builds requests to the state service, a consensus-backed key-value store, and parses replies. */
@@ -158,7 +159,12 @@
     return body.path("truncated").asBoolean(false);
   }
 
-  /** Returns the changes in a reply to a watch; deleted keys have a null value. */
+  /**
+   * Returns the changes in a reply to a watch, the oldest first. The state service lists them in
+   * any order.
+   *
+   * @return the changes; deleted keys have a null value
+   */
   public static List<Entry> changes(JsonNode body) throws MalformedException {
     List<Entry> changes = new ArrayList<>();
     for (JsonNode node : new Fields(body).node("news")) {
@@ -169,6 +175,7 @@
               ? new Entry(fields.text(DELETED_KEY), null, version)
               : new Entry(fields.text(WRITTEN_KEY), fields.node(VALUE), version));
     }
+    changes.sort(Comparator.comparingLong(Entry::version));
     return changes;
   }
 }
--- a/src/test/java/org/snowturn/core/model/LiveJobsTest.java
+++ b/src/test/java/org/snowturn/core/model/LiveJobsTest.java
@@ -70,6 +70,9 @@
     final long delayedRevision = revision;
     jobs.applyChanges(changesSince(jobs.revision()), revision);
     assertEqualsStored(jobs);
+    // A change that the cache contains is listed once more. A removed record must stay removed.
+    jobs.applyChanges(history, revision);
+    assertEqualsStored(jobs);
     // A delayed response changes nothing.
     changeRecord(3);
     changeRecord(60);
--- a/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
@@ -60,6 +60,7 @@
 
   private static final long DEFAULT_HEAP_BYTES = 80L << 20;
 
+  final long seed;
   final Random random;
   final Settings[] settings;
   final InvariantChecker invariants = new InvariantChecker(this);
@@ -165,6 +166,7 @@
    * @param seed seed of all random choices
    */
   SimulatedCluster(long seed, Settings[] settings, Tunables tunables) {
+    this.seed = seed;
     this.random = new Random(seed);
     this.settings = settings;
     this.tunables = tunables;
--- a/src/testbench/java/org/snowturn/simulation/SimulatedStateService.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedStateService.java
@@ -7,10 +7,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import org.snowturn.config.Settings;
@@ -61,8 +63,14 @@
   private static final long MIN_LATE_TXN_DELAY_MS = 4_000;
   private static final int LATE_TXN_DELAY_RANGE_MS = 15_000;
 
+  /** Number of orders in which the answer to a watch may list the changes. */
+  private static final int CHANGE_ORDERS = 3;
+
   private final SimulatedCluster cluster;
 
+  /** Draws the orders of changes, apart from the other random choices of the cluster. */
+  private final Random changeOrders;
+
   /** Last revision whose changes were removed from the history. */
   private long compactedRevision;
 
@@ -121,6 +129,7 @@
 
   SimulatedStateService(SimulatedCluster cluster) {
     this.cluster = cluster;
+    this.changeOrders = new Random(cluster.seed);
     this.limits = cluster.settings[0].stateLimits();
     this.writesLeft = limits.maxWriteRps();
     this.requestsLeft = limits.maxRps();
@@ -463,6 +472,17 @@
     replyOk(reply, object.put("truncated", truncated));
   }
 
+  /** Returns the changes with the oldest first, the latest first or shuffled. */
+  private List<Change> inDrawnOrder(List<Change> changes) {
+    List<Change> ordered = new ArrayList<>(changes);
+    switch (changeOrders.nextInt(CHANGE_ORDERS)) {
+      case 0 -> Collections.reverse(ordered);
+      case 1 -> Collections.shuffle(ordered, changeOrders);
+      default -> {} // the oldest first
+    }
+    return ordered;
+  }
+
   /**
    * Answers a watch once a key with its prefix has changed, or at its expiry.
    *
@@ -481,7 +501,7 @@
       reply.onReply(Outcome.ANSWERED, 410, Json.object().put("epoch", revision));
       return;
     }
-    for (Change recorded : history.subList(firstChangeAfter(since), history.size())) {
+    for (Change recorded : inDrawnOrder(history.subList(firstChangeAfter(since), history.size()))) {
       if (recorded.key.startsWith(query.get("prefix"))) {
         ObjectNode change = news.addObject().put("stamp", recorded.revision);
         if (recorded.json == null) {
