--- a/src/main/java/org/snowturn/core/assignment/HeartbeatCommands.java
+++ b/src/main/java/org/snowturn/core/assignment/HeartbeatCommands.java
@@ -68,9 +68,7 @@
   /** Returns the answer to a heartbeat, after {@link HeartbeatProcessor#apply} has processed it. */
   public Answer respond(Machine machine, Heartbeat heartbeat) {
     List<Command> commands = new ArrayList<>();
-    boolean newest =
-        heartbeat.agentEpoch() == machine.epoch()
-            && heartbeat.sequence() == machine.session.heartbeatSequence();
+    boolean newest = isNewest(machine, heartbeat);
     LongHashSet listed = addCommandsForListed(machine, heartbeat, newest, commands);
     boolean renewsLease = true;
     for (long reference : HeartbeatProcessor.copy(machine.assigned)) {
@@ -84,6 +82,18 @@
     return new Answer(commands, renewsLease);
   }
 
+  /**
+   * Returns whether the heartbeat is the newest of its machine. In the first agent epoch starts are
+   * only sent in answers, and no answer was sent since the newest heartbeat of the worker's own. So
+   * its answer may carry them even if a reply to a direct message is newer.
+   */
+  private static boolean isNewest(Machine machine, Heartbeat heartbeat) {
+    return heartbeat.agentEpoch() == machine.epoch()
+        && (heartbeat.sequence() == machine.session.heartbeatSequence()
+            || (machine.session.isInFirstEpoch()
+                && machine.reachability.isNewestReceived(heartbeat.sequence())));
+  }
+
   /**
    * Adds the commands for the tasks that a heartbeat lists.
    *
--- a/src/main/java/org/snowturn/core/assignment/HeartbeatProcessor.java
+++ b/src/main/java/org/snowturn/core/assignment/HeartbeatProcessor.java
@@ -118,7 +118,19 @@
   /** Records that a heartbeat is answered in a way that may renew the machine's lease. */
   public void onLeaseRenewed(Machine machine) {
     machine.session.setLastAnswerAt(runtime.now());
+    machine.session.setLeaseLeftToExpire(false);
+    onAnswered(machine);
+  }
+
+  /** Records that a heartbeat of an idle machine is answered without renewing its lease. */
+  public void onLeaseLeftToExpire(Machine machine) {
+    machine.session.setLeaseLeftToExpire(true);
+    onAnswered(machine);
+  }
+
+  private void onAnswered(Machine machine) {
     machine.reachability.onHeartbeatAnswered(runtime.now());
+    machine.session.onAnswerSent(runtime.now(), maxHeartbeatIntervalMs(settings));
     machine.session.setHeartbeatDueAt(
         runtime.now() + maxHeartbeatIntervalMs(settings) + HEARTBEAT_RETRY_MS);
   }
@@ -176,10 +188,27 @@
     machine.session.clearAcknowledgement();
     machine.fence.onNewAgentEpoch();
     machine.commands().discardUnsent();
-    machine.reachability.onNewAgentEpoch(runtime.now());
+    if (hasExpiredAsIntended(machine)) {
+      machine.reachability.onIntendedAgentEpoch();
+      // Arrays have left the machine alone until now, so its surplus shows from now on.
+      machine.setIdleSince(runtime.now());
+    } else {
+      machine.reachability.onNewAgentEpoch(runtime.now());
+    }
+    machine.session.setLeaseLeftToExpire(false);
     releaseEarlierEpochs(machine, epoch);
   }
 
+  /**
+   * Returns whether the lease has expired because this leader did not renew it, although the
+   * machine received the answers: without the last one it would have tried other nodes first.
+   */
+  private boolean hasExpiredAsIntended(Machine machine) {
+    return machine.session.isLeaseLeftToExpire()
+        && machine.reachability.sinceHeartbeatAnswerMs(runtime.now())
+            <= maxAnsweredHeartbeatIntervalMs(settings);
+  }
+
   /**
    * Records the token that a machine has seen. One that this leader has not sent belongs to a later
    * leader, or the worker is faulty; a heartbeat with it proves nothing.
--- a/src/main/java/org/snowturn/core/assignment/MachineRegistry.java
+++ b/src/main/java/org/snowturn/core/assignment/MachineRegistry.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.snowturn.core.MonotonicTime;
 import org.snowturn.core.effects.CoreRuntime;
+import org.snowturn.core.model.AgentSession;
 import org.snowturn.core.model.Machine;
 import org.snowturn.core.model.MachineIndex;
 import org.snowturn.core.storage.FormatGate;
@@ -39,6 +40,9 @@
   /** Share of a page that machines may use in the second format; the rest is for their images. */
   private static final double SECOND_FORMAT_MACHINES_SHARE = 0.55;
 
+  /** Position of the agent epoch in a machine's entry in the second format. */
+  private static final int EPOCH_POSITION = 4;
+
   /** Page number of a machine that is on no page. */
   private static final int NO_PAGE = -1;
 
@@ -56,6 +60,9 @@
    */
   private static final long MIN_IMAGES_WRITE_INTERVAL_MS = 20_000;
 
+  /** Minimum time between two writes of a page for the agent epochs of its machines. */
+  private static final long MIN_EPOCHS_WRITE_INTERVAL_MS = 1_000;
+
   /** Minimum time between two writes of a page for removed machines. */
   private static final long MIN_REMOVALS_WRITE_INTERVAL_MS = 2_000;
 
@@ -72,6 +79,7 @@
 
     private long removalsWrittenAt = MonotonicTime.UNSET;
     private long imagesWrittenAt = MonotonicTime.UNSET;
+    private long epochsWrittenAt = MonotonicTime.UNSET;
 
     Page(PendingRecord record) {
       this.record = record;
@@ -193,11 +201,24 @@
         kinds.add(kind);
         kindNumber = kindNumbers.size() - 1;
       }
-      names.add(machine, all.addArray().add(machine.id).add(machine.address()).add(kindNumber));
+      ArrayNode entry = all.addArray().add(machine.id).add(machine.address()).add(kindNumber);
+      names.add(machine, entry);
+      addEpoch(machine, entry);
     }
     return object;
   }
 
+  /** Adds the agent epoch behind the images, unless it is the first one. */
+  private static void addEpoch(Machine machine, ArrayNode entry) {
+    long epoch = machine.session.likelyEpoch();
+    if (epoch > AgentSession.FIRST_EPOCH) {
+      while (entry.size() < EPOCH_POSITION) {
+        entry.addArray();
+      }
+      entry.add(epoch);
+    }
+  }
+
   /** The image names of a page, each written once; machines refer to them by number. */
   private static final class ImageNames {
     private final ArrayNode names;
@@ -284,14 +305,17 @@
         JsonNode image = entry.value().path("i").path(node.asInt());
         machine.touchImage(image.path(0).asText(), image.path(1).asDouble());
       }
+      if (second) {
+        machine.session.setRecordedEpoch(value.path(EPOCH_POSITION).asLong());
+      }
       put(machine, number);
       onMachine.accept(machine);
     }
   }
 
   /**
-   * Writes the pages with changed images or with terminated machines, which are removed once no
-   * task is assigned to them.
+   * Writes the pages with changed images or agent epochs, or with terminated machines, which are
+   * removed once no task is assigned to them.
    */
   public void writeChangedPages() {
     for (Page page : List.copyOf(pages)) {
@@ -313,8 +337,24 @@
         page.imagesWrittenAt = runtime.now();
         page.machines.forEach(machine -> machine.images.markStored());
         writer.enqueue(page.record, RecordWriter.DEFERRABLE_URGENCY, null);
+      } else if (gate.isOpen()
+          && hasChangedEpochs(page)
+          && runtime.now() - page.epochsWrittenAt > MIN_EPOCHS_WRITE_INTERVAL_MS) {
+        page.epochsWrittenAt = runtime.now();
+        page.machines.forEach(machine -> machine.session.markEpochRecorded());
+        writer.enqueue(page.record, RecordWriter.DEFERRABLE_URGENCY, null);
+      }
+    }
+  }
+
+  /** Returns whether a machine on the page has left its first agent epoch since it was written. */
+  private static boolean hasChangedEpochs(Page page) {
+    for (Machine machine : page.machines) {
+      if (machine.session.hasUnrecordedEpoch()) {
+        return true;
       }
     }
+    return false;
   }
 
   private static boolean hasChangedImages(Page page) {
--- a/src/main/java/org/snowturn/core/assignment/StartFencing.java
+++ b/src/main/java/org/snowturn/core/assignment/StartFencing.java
@@ -51,17 +51,29 @@
     if (machine.fence.isStartFenced(attempt, task)) {
       return true;
     }
-    boolean mayRaise =
-        !machine.commands().isAwaitingReply() || heartbeat.tasks().size() > MAX_TASKS_BEFORE_RAISE;
-    if (mayRaise && machine.fence.raiseToken(committedRevision.getAsLong())) {
-      raisedTokens++;
-      logRaise(machine);
+    if (!machine.commands().isAwaitingReply()
+        || heartbeat.tasks().size() > MAX_TASKS_BEFORE_RAISE) {
+      raiseToken(machine);
     }
     boolean isFenced = machine.fence.isStartFenced(attempt, task);
     unfenced += isFenced ? 0 : 1;
     return isFenced;
   }
 
+  /**
+   * Raises the token of messages to the machine to the highest one that belongs to this term.
+   *
+   * @return whether it was raised
+   */
+  public boolean raiseToken(Machine machine) {
+    boolean isRaised = machine.fence.raiseToken(committedRevision.getAsLong());
+    if (isRaised) {
+      raisedTokens++;
+      logRaise(machine);
+    }
+    return isRaised;
+  }
+
   private void logRaise(Machine machine) {
     if (runtime.events().isDebugEnabled()) {
       runtime
--- a/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
+++ b/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
@@ -39,6 +39,7 @@
   private final MachineIndex machines;
   private final Quota quota;
   private final AttemptGuard guard;
+  private final StartDelivery startDelivery;
   private final JobRegistry registry;
   private final JobCompletion completion;
   private final TaskRecordLoader loader;
@@ -52,6 +53,7 @@
    * Creates an empty set of jobs and assignments.
    *
    * @param guard decides whether an attempt has ended and whether a start command may be sent
+   * @param startDelivery delivers the starts of placed tasks
    */
   public TaskAssignments(
       CoreRuntime runtime,
@@ -60,8 +62,10 @@
       MachineIndex machines,
       Quota quota,
       KnownCancellations cancellations,
-      AttemptGuard guard) {
+      AttemptGuard guard,
+      StartDelivery startDelivery) {
     this.guard = guard;
+    this.startDelivery = startDelivery;
     this.runtime = runtime;
     this.writer = writer;
     this.machines = machines;
@@ -255,6 +259,7 @@
   /** Assigns a pending task to a machine. Its start is sent once the placement is durable. */
   public void assign(Job job, int task, Machine machine, long attempt) {
     addAssignment(job, task, machine, attempt, machine.epoch(), TaskState.PLACING);
+    machine.addPendingPlacements(1);
     job.scheduling.setPlacedWallMs(runtime.wallMs());
     placements++;
     machine.touchImage(job.spec.image(), job.spec.imageGb());
@@ -275,6 +280,7 @@
       return;
     }
     job.setState(task, TaskState.STARTING);
+    machine.addPendingPlacements(-1);
     runtime
         .events()
         .info(LogEvent.START_SENT)
@@ -284,7 +290,7 @@
         .with(LogField.AGENT_EPOCH, machine.epoch())
         .with(LogField.TOKEN, machine.fence.token())
         .write();
-    machine.commands().add(startCommand(job, task));
+    startDelivery.deliver(machine, startCommand(job, task));
   }
 
   /** Returns whether a queued start command may still be sent to this machine. */
@@ -390,6 +396,9 @@
     Machine machine = machines.get(job.machineOf(task));
     // A start that is still queued would begin an attempt that the machine was told to forget.
     machine.commands().withdraw(startCommand(job, task));
+    if (job.stateOf(task) == TaskState.PLACING) {
+      machine.addPendingPlacements(-1);
+    }
     machine.unassign(Job.taskReference(job.index, task), job.priority(), job.spec);
     if (machine.assigned.isEmpty()) {
       machine.setIdleSince(runtime.now());
--- a/src/main/java/org/snowturn/core/autoscaling/ScaleIn.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ScaleIn.java
@@ -41,6 +41,7 @@
   private final CapacityDemand demand;
   private final ProvisionedCapacity capacity;
   private final ReplicaRelocation relocation;
+  private final double leaseS;
   private final MachineTermination termination;
   private long nextQuarantinedReturnAt;
 
@@ -52,6 +53,7 @@
       MachineTermination termination) {
     this.runtime = cluster.runtime();
     this.tunables = cluster.tunables();
+    this.leaseS = cluster.settings().workers().leaseS();
     this.machines = cluster.machines();
     this.assignments = cluster.assignments();
     this.demand = demand;
@@ -99,7 +101,16 @@
         && machine.assigned.isEmpty()
         && machine.unaccountedTasks() == 0
         && now - machine.firstSeenAt() > MIN_BILLED_MS - BILLING_MARGIN_MS
-        && now - machine.idleSince() > tunables.idleReturnS() * 1000;
+        && now - machine.idleSince() > maxIdleMs(machine);
+  }
+
+  /**
+   * Returns the time in milliseconds after which an idle machine is returned. An unused machine in
+   * its first agent epoch has to be idle until that epoch has ended, to get starts directly.
+   */
+  private double maxIdleMs(Machine machine) {
+    boolean isUnused = machine.session.isInFirstEpoch() && machine.images.size() == 0;
+    return (tunables.idleReturnS() + (isUnused ? leaseS : 0)) * 1000;
   }
 
   /**
--- a/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
+++ b/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
@@ -35,9 +35,6 @@
    */
   private static final long MIN_UNANSWERED_MS = 400;
 
-  /** The first agent epoch of a machine. */
-  private static final long FIRST_AGENT_EPOCH = 1;
-
   private static final int STATUS_OK = 200;
   private static final int STATUS_CONFLICT = 409;
 
@@ -55,6 +52,9 @@
     /** Handles a queue that has something to send and waits for {@link CommandQueue#flush}. */
     void onReadyToSend(CommandQueue queue);
 
+    /** Raises the token of messages to the machine, if a higher one is available. */
+    void raiseToken(Machine machine);
+
     /** Handles a message to the machine that got no usable answer. */
     void onMessageUnanswered(Machine machine);
   }
@@ -67,6 +67,9 @@
   private boolean isProbeRequested;
   private boolean isFlushRequested;
 
+  /** The agent epoch for which the next probe is meant; 0 for the newest known one. */
+  private long probedEpoch;
+
   /** Creates an empty queue of commands for the machine. */
   public CommandQueue(CoreRuntime runtime, Host host, Machine machine) {
     this.runtime = runtime;
@@ -137,16 +140,34 @@
     if (!canSend()) {
       return;
     }
+    if (probedEpoch != 0) {
+      sendProbe(probedEpoch);
+      return;
+    }
     List<Command> commands = new ArrayList<>(queue.values());
-    commands.removeIf(
-        command -> command.op() == Command.Op.START && !host.canStart(machine, command));
+    commands.removeIf(command -> command.op() == Command.Op.START && !canSendStart(command));
     queue.clear();
     if (commands.isEmpty() && !isProbeRequested) {
       return;
     }
     isProbeRequested = false;
     isBusy = true;
-    send(commands, recordStarts(commands));
+    send(machine.session.likelyEpoch(), commands, recordStarts(commands));
+  }
+
+  private void sendProbe(long agentEpoch) {
+    probedEpoch = 0;
+    isProbeRequested = false;
+    isBusy = true;
+    send(agentEpoch, List.of(), List.of());
+  }
+
+  /**
+   * Returns whether a start may be sent directly. It must not name the first agent epoch, in which
+   * a machine that has lost its memory would execute a late copy of it.
+   */
+  private boolean canSendStart(Command start) {
+    return !machine.session.isInFirstEpoch() && host.canStart(machine, start);
   }
 
   private boolean canSend() {
@@ -174,10 +195,7 @@
     return firstStarts;
   }
 
-  private void send(List<Command> commands, List<Command> firstStarts) {
-    // The agent epoch is unknown for a machine on which earlier leaders placed nothing. Most such
-    // machines are in their first epoch; the others refuse the message and report their epoch.
-    long agentEpoch = Math.max(FIRST_AGENT_EPOCH, machine.epoch());
+  private void send(long agentEpoch, List<Command> commands, List<Command> firstStarts) {
     CommandLog.write(runtime, "direct", machine, agentEpoch, commands);
     long sentAt = runtime.now();
     runtime.call(
@@ -218,9 +236,12 @@
   /** Handles the heartbeat in the answer. Returns whether it could be parsed. */
   private boolean handleHeartbeat(long agentEpoch, int status, JsonNode body) {
     try {
-      host.onHeartbeat(Heartbeat.parse(body));
+      Heartbeat heartbeat = Heartbeat.parse(body);
+      host.onHeartbeat(heartbeat);
       if (status == STATUS_CONFLICT && machine.epoch() > agentEpoch) {
         probe(); // the machine accepts the token with its agent epoch, which is known now
+      } else if (status == STATUS_CONFLICT && heartbeat.agentEpoch() < agentEpoch) {
+        fenceNewIncarnation(heartbeat.agentEpoch());
       }
       return true;
     } catch (MalformedException e) {
@@ -228,4 +249,15 @@
       return false;
     }
   }
+
+  /**
+   * Gives a machine that has come back without its memory a higher token than all starts that were
+   * sent directly to its former incarnation. It refuses late copies of them once it reaches the
+   * agent epoch that they name.
+   */
+  private void fenceNewIncarnation(long agentEpoch) {
+    host.raiseToken(machine);
+    probedEpoch = agentEpoch;
+    probe();
+  }
 }
--- a/src/main/java/org/snowturn/core/health/Reachability.java
+++ b/src/main/java/org/snowturn/core/health/Reachability.java
@@ -99,6 +99,14 @@
    */
   public void onNewAgentEpoch(long nowMs) {
     revokeProof(nowMs);
+    onIntendedAgentEpoch();
+  }
+
+  /**
+   * Records that the machine has a later agent epoch because its leader has left the lease to
+   * expire. That puts no proof in doubt.
+   */
+  public void onIntendedAgentEpoch() {
     lastHeartbeatLackedToken = false;
     highestSequence = -1;
   }
@@ -158,6 +166,11 @@
     return sequence <= highestSequence;
   }
 
+  /** Returns whether this heartbeat is the newest that the worker has sent on its own. */
+  public boolean isNewestReceived(long sequence) {
+    return sequence == highestSequence;
+  }
+
   /**
    * Records that a heartbeat of the present agent epoch arrived.
    *
--- a/src/main/java/org/snowturn/core/leader/AssignmentServices.java
+++ b/src/main/java/org/snowturn/core/leader/AssignmentServices.java
@@ -8,6 +8,7 @@
 import org.snowturn.core.assignment.JobListener;
 import org.snowturn.core.assignment.KnownCancellations;
 import org.snowturn.core.assignment.MachineRegistry;
+import org.snowturn.core.assignment.StartDelivery;
 import org.snowturn.core.assignment.StartFencing;
 import org.snowturn.core.assignment.TaskAssignments;
 import org.snowturn.core.dependency.DependencyGraph;
@@ -35,6 +36,8 @@
  * @param preemptionRate the rate at which the cloud preempts spot machines
  * @param heartbeatProcessor applies heartbeats to the state of machines and tasks
  * @param heartbeatCommands chooses the commands with which a heartbeat is answered
+ * @param startFencing raises the tokens of machines
+ * @param startDelivery delivers the starts of placed tasks
  */
 record AssignmentServices(
     MachineIndex machines,
@@ -46,7 +49,9 @@
     MachineRegistry registry,
     PreemptionRate preemptionRate,
     HeartbeatProcessor heartbeatProcessor,
-    HeartbeatCommands heartbeatCommands) {
+    HeartbeatCommands heartbeatCommands,
+    StartFencing startFencing,
+    StartDelivery startDelivery) {
 
   /**
    * Creates the services of a term, without any job or machine.
@@ -72,8 +77,18 @@
     AttemptGuard attemptGuard =
         new AttemptGuard(
             runtime, machines, term.token(), HeartbeatProcessor.leaseExpiryMs(shared.settings()));
+    StartFencing startFencing = new StartFencing(runtime, writer::committedRevision);
+    StartDelivery startDelivery = new StartDelivery(runtime, shared.settings(), startFencing);
     TaskAssignments assignments =
-        newAssignments(shared, machines, writer, attemptGuard, cancellations);
+        new TaskAssignments(
+            runtime,
+            formatGate,
+            writer,
+            machines,
+            new Quota(shared.settings().teams()),
+            cancellations,
+            attemptGuard,
+            startDelivery);
     DependencyGraph dependencyGraph = new DependencyGraph(runtime, formatGate, assignments, writer);
     FailureHandler failureHandler = new FailureHandler(runtime, shared.tunables().sickErrors());
     addJobListeners(assignments, dependencyGraph, failureHandler, cancellations);
@@ -95,32 +110,9 @@
             machines,
             shared.machineTypes(),
             preemptionRate),
-        newHeartbeatCommands(runtime, writer, assignments, cancellations));
-  }
-
-  private static HeartbeatCommands newHeartbeatCommands(
-      CoreRuntime runtime,
-      RecordWriter writer,
-      TaskAssignments assignments,
-      KnownCancellations cancellations) {
-    StartFencing fencing = new StartFencing(runtime, writer::committedRevision);
-    return new HeartbeatCommands(runtime, assignments, cancellations, fencing);
-  }
-
-  private static TaskAssignments newAssignments(
-      LeaderDependencies shared,
-      MachineIndex machines,
-      RecordWriter writer,
-      AttemptGuard attemptGuard,
-      KnownCancellations cancellations) {
-    return new TaskAssignments(
-        shared.runtime(),
-        shared.formatGate(),
-        writer,
-        machines,
-        new Quota(shared.settings().teams()),
-        cancellations,
-        attemptGuard);
+        new HeartbeatCommands(runtime, assignments, cancellations, startFencing),
+        startFencing,
+        startDelivery);
   }
 
   private static void addJobListeners(
--- a/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
+++ b/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
@@ -1,6 +1,7 @@
 package org.snowturn.core.leader;
 
 import java.util.List;
+import java.util.Map;
 import org.snowturn.core.assignment.HeartbeatCommands;
 import org.snowturn.core.dispatch.CommandLog;
 import org.snowturn.core.effects.CoreRuntime;
@@ -20,6 +21,12 @@
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
 
+  /** Maximum time until an answer for it to count as prompt. */
+  private static final long MAX_PROMPT_ANSWER_MS = 500;
+
+  /** Part of a lease after which the next heartbeat of a machine is answered at once. */
+  private static final double MAX_PROMPT_ANSWER_INTERVAL_LEASES = 1.0 / 3;
+
   private final CoreRuntime runtime;
   private final Term term;
   private final CancellationWatermark watermark;
@@ -28,6 +35,8 @@
   private final HeartbeatCommands heartbeatCommands;
   private final LeaderRecovery recovery;
   private final ReachabilityChecks reachability;
+  private final DeferredAnswers deferredAnswers;
+  private final long maxPromptAnswerIntervalMs;
 
   HeartbeatHandler(
       LeaderDependencies shared,
@@ -43,6 +52,10 @@
     this.heartbeatCommands = services.heartbeatCommands();
     this.recovery = recovery;
     this.reachability = reachability;
+    this.maxPromptAnswerIntervalMs =
+        (long) (shared.settings().workers().leaseS() * 1000 * MAX_PROMPT_ANSWER_INTERVAL_LEASES);
+    this.deferredAnswers = new DeferredAnswers(shared.settings());
+    services.startDelivery().setAnswerNeededHandler(this::onAnswerNeeded);
   }
 
   /**
@@ -79,6 +92,83 @@
     reachability.onHeartbeatReceived();
     apply(machine, heartbeat);
     reachability.onHeartbeatApplied(machine, heartbeat);
+    if (mayGetStarts(machine) && canDeferAnswer(machine)) {
+      DeferredAnswers.Deferred earlier =
+          deferredAnswers.add(exchange, machine, heartbeat, runtime.now());
+      machine.session.setAnswerDeferred(true);
+      if (earlier != null) {
+        refuse(earlier.exchange(), earlier.heartbeat(), "newer_heartbeat");
+      }
+      return;
+    }
+    machine.session.setPromptAnswerAt(runtime.now());
+    answer(exchange, machine, heartbeat);
+  }
+
+  /**
+   * Returns whether the lease is safe if the worker gives up before the answer arrives, as it does
+   * over slow links: prompt answers renew it often enough.
+   */
+  private boolean canDeferAnswer(Machine machine) {
+    return runtime.now() - machine.session.promptAnswerAt() < maxPromptAnswerIntervalMs;
+  }
+
+  /**
+   * Returns whether the answer to the machine's heartbeat may carry starts that are not durable
+   * yet. A machine that has left its first agent epoch gets starts directly.
+   */
+  private boolean mayGetStarts(Machine machine) {
+    return machine.session.isInFirstEpoch()
+        && (machine.pendingPlacements() > 0
+            || (machine.cpusFree() > 0 && machine.isUsable(runtime.now())));
+  }
+
+  /** Handles a durable start which only the answer to a heartbeat of the machine may carry. */
+  private void onAnswerNeeded(Machine machine) {
+    if (!deferredAnswers.onStartDue(machine, runtime.now())) {
+      services.startDelivery().prompt(machine);
+    }
+  }
+
+  /** Answers the deferred heartbeats whose machines have got a start. */
+  void answerDeferredWithStart() {
+    deferredAnswers.takeWithStart(runtime.now()).forEach(this::answerDeferred);
+  }
+
+  /** Answers the heartbeats that have been deferred for the maximum time. */
+  void answerExpiredDeferred() {
+    deferredAnswers.takeExpired(runtime.now()).forEach(this::answerDeferred);
+  }
+
+  /** Refuses all deferred heartbeats, since this node may no longer renew leases. */
+  void refuseDeferred() {
+    for (DeferredAnswers.Deferred deferred : deferredAnswers.takeAll()) {
+      deferred.machine().session.setAnswerDeferred(false);
+      refuse(deferred.exchange(), deferred.heartbeat(), "no_authority");
+    }
+  }
+
+  private void answerDeferred(DeferredAnswers.Deferred deferred) {
+    Machine machine = deferred.machine();
+    machine.session.setAnswerDeferred(false);
+    if (runtime.now() - deferred.receivedAtMs() <= MAX_PROMPT_ANSWER_MS) {
+      machine.session.setPromptAnswerAt(runtime.now());
+    }
+    if (!term.hasAuthority()) {
+      refuse(deferred.exchange(), deferred.heartbeat(), "no_authority");
+    } else if (machine.isGone()
+        || deferred.heartbeat().agentEpoch() <= machine.session.endedEpoch()) {
+      refuse(deferred.exchange(), deferred.heartbeat(), "session_over");
+    } else {
+      answer(deferred.exchange(), machine, deferred.heartbeat());
+    }
+  }
+
+  private void answer(long exchange, Machine machine, Heartbeat heartbeat) {
+    if (canLeaveFirstEpoch(machine, heartbeat)) {
+      answerWithoutRenewal(exchange, machine, heartbeat);
+      return;
+    }
     HeartbeatCommands.Answer answer = heartbeatCommands.respond(machine, heartbeat);
     if (!answer.renewsLease()) {
       runtime
@@ -90,9 +180,35 @@
       return;
     }
     services.heartbeatProcessor().onLeaseRenewed(machine);
+    if (heartbeat.seenToken() < machine.fence.token()) {
+      services.startDelivery().onTokenRaised(machine);
+    }
     answer(exchange, machine, heartbeat, answer.commands());
   }
 
+  /**
+   * Returns whether the machine is idle in its first agent epoch, so that its lease may expire.
+   * From its next epoch on it gets starts directly. It must have seen the token before: then it
+   * refuses late copies of earlier messages for later epochs.
+   */
+  private boolean canLeaveFirstEpoch(Machine machine, Heartbeat heartbeat) {
+    return machine.session.isInFirstEpoch()
+        && machine.session.isAcknowledged()
+        && machine.reachability.isProven()
+        && machine.assigned.isEmpty()
+        && heartbeat.tasks().isEmpty();
+  }
+
+  /**
+   * Answers an idle machine without a token. The worker drops the answer and reports to this node
+   * again.
+   */
+  private void answerWithoutRenewal(long exchange, Machine machine, Heartbeat heartbeat) {
+    log(heartbeat, "lease_left_to_expire");
+    services.heartbeatProcessor().onLeaseLeftToExpire(machine);
+    runtime.answer(exchange, OK, Command.responseWithoutToken());
+  }
+
   /** Handles the heartbeat that a worker has sent in reply to a direct message. */
   void handleReply(Heartbeat heartbeat) {
     Machine machine = machines.find(heartbeat.machine());
@@ -137,6 +253,11 @@
             });
   }
 
+  /** Returns the gauges of the answers, by metric name. */
+  Map<String, Double> gauges() {
+    return Map.of("snowturn.heartbeats.deferred", (double) deferredAnswers.deferredCount());
+  }
+
   private void answer(long exchange, Machine machine, Heartbeat heartbeat, List<Command> commands) {
     log(heartbeat, "renewed");
     CommandLog.write(runtime, "answer", machine, heartbeat.agentEpoch(), commands);
--- a/src/main/java/org/snowturn/core/leader/Leader.java
+++ b/src/main/java/org/snowturn/core/leader/Leader.java
@@ -64,7 +64,14 @@
     progressPublisher = new ProgressPublisher(shared, assignments);
     clusterSummary = new ClusterSummary(runtime, services, scheduling);
     gauges =
-        new LeaderGauges(services, scheduling, recovery, reachability, healthSweep, dispatcher);
+        new LeaderGauges(
+            services,
+            scheduling,
+            recovery,
+            reachability,
+            healthSweep,
+            dispatcher,
+            heartbeatHandler);
     scheduling.externallyManagedMachines().load();
     recovery.start(this::onRecordsLoaded);
   }
@@ -112,6 +119,7 @@
   /** Ends the term, after which none of its services acts any more. */
   public void end() {
     term.end();
+    heartbeatHandler.refuseDeferred();
   }
 
   /** Runs the periodic work that is due. */
@@ -125,6 +133,7 @@
     }
     jobWatch.tick();
     if (!term.hasAuthority()) {
+      heartbeatHandler.refuseDeferred();
       return;
     }
     long now = runtime.now();
@@ -138,6 +147,7 @@
     }
     clusterSummary.tick();
     progressPublisher.tick();
+    heartbeatHandler.answerExpiredDeferred();
     flush();
   }
 
@@ -173,6 +183,7 @@
       services.dependencyGraph().update();
     }
     services.writer().flush();
+    heartbeatHandler.answerDeferredWithStart();
     dispatcher.flush();
   }
 
@@ -247,6 +258,11 @@
     return assignments.canStart(machine, start);
   }
 
+  @Override
+  public void raiseToken(Machine machine) {
+    services.startFencing().raiseToken(machine);
+  }
+
   @Override
   public void onReadyToSend(CommandQueue queue) {
     dispatcher.add(queue);
--- a/src/main/java/org/snowturn/core/leader/LeaderGauges.java
+++ b/src/main/java/org/snowturn/core/leader/LeaderGauges.java
@@ -12,6 +12,7 @@
   private final ReachabilityChecks reachability;
   private final HealthSweep healthSweep;
   private final CommandDispatcher dispatcher;
+  private final HeartbeatHandler heartbeatHandler;
 
   LeaderGauges(
       AssignmentServices services,
@@ -19,13 +20,15 @@
       LeaderRecovery recovery,
       ReachabilityChecks reachability,
       HealthSweep healthSweep,
-      CommandDispatcher dispatcher) {
+      CommandDispatcher dispatcher,
+      HeartbeatHandler heartbeatHandler) {
     this.services = services;
     this.scheduling = scheduling;
     this.recovery = recovery;
     this.reachability = reachability;
     this.healthSweep = healthSweep;
     this.dispatcher = dispatcher;
+    this.heartbeatHandler = heartbeatHandler;
   }
 
   /** Returns all gauges of the term, by metric name. */
@@ -51,6 +54,8 @@
         "snowturn.placements.evaluations", (double) scheduling.scheduler().machineEvaluations());
     gauges.put("snowturn.command.queues.flushed", (double) dispatcher.flushCount());
     gauges.putAll(services.heartbeatCommands().gauges());
+    gauges.putAll(services.startDelivery().gauges());
+    gauges.putAll(heartbeatHandler.gauges());
     gauges.put(
         "snowturn.heartbeats.unknown.token",
         (double) services.heartbeatProcessor().unknownTokens());
--- a/src/main/java/org/snowturn/core/model/Machine.java
+++ b/src/main/java/org/snowturn/core/model/Machine.java
@@ -53,6 +53,9 @@
 
   private final PriorityCounts assignedByPriority = new PriorityCounts();
 
+  /** Number of assigned tasks whose placements are not durable yet. */
+  private int pendingPlacements;
+
   /** Number of tasks that an earlier leader assigned and that this leader has not seen yet. */
   private int adoptedTasks;
 
@@ -150,6 +153,16 @@
     }
   }
 
+  /** Changes the number of assigned tasks whose placements are not durable yet. */
+  public void addPendingPlacements(int change) {
+    pendingPlacements += change;
+  }
+
+  /** Returns the number of assigned tasks whose placements are not durable yet. */
+  public int pendingPlacements() {
+    return pendingPlacements;
+  }
+
   /** Counts one of the assigned tasks under another priority. */
   public void reprioritize(Priority from, Priority to) {
     assignedByPriority.add(from, -1);
--- a/src/main/java/org/snowturn/core/scheduling/CandidateQueue.java
+++ b/src/main/java/org/snowturn/core/scheduling/CandidateQueue.java
@@ -24,19 +24,23 @@
   private final PlacementConstraints constraints;
   private final PlacementScore score;
   private final Aging aging;
+  private final FirstEpochWait firstEpochWait;
   private final EvaluationCounter evaluations;
   private final PriorityQueue<Candidate> candidates = new PriorityQueue<>();
   private Job job;
+  private boolean isWaitingForMachine;
 
   /** Creates an empty queue. */
   CandidateQueue(
       PlacementConstraints constraints,
       PlacementScore score,
       Aging aging,
+      FirstEpochWait firstEpochWait,
       EvaluationCounter evaluations) {
     this.constraints = constraints;
     this.score = score;
     this.aging = aging;
+    this.firstEpochWait = firstEpochWait;
     this.evaluations = evaluations;
   }
 
@@ -44,6 +48,12 @@
   void reset(Job newJob) {
     candidates.clear();
     job = newJob;
+    isWaitingForMachine = false;
+  }
+
+  /** Returns whether a machine has room that the job's tasks leave alone for the time being. */
+  boolean isWaitingForMachine() {
+    return isWaitingForMachine;
   }
 
   /** Returns whether no machine is left. */
@@ -52,14 +62,19 @@
   }
 
   /**
-   * Adds the machine if a task of the job fits and it is not reserved for another job. Production
-   * jobs may use reserved machines.
+   * Adds the machine if a task of the job fits, it is not reserved for another job, and the job's
+   * tasks do not wait for its next agent epoch. Production jobs may use reserved machines.
    */
   void offer(Machine machine) {
     evaluations.increment();
     boolean isReserved =
         job.priority() != Priority.PRODUCTION && aging.machineReservedForOther(job) == machine;
-    if (!isReserved && constraints.fits(job, machine)) {
+    if (isReserved || !constraints.fits(job, machine)) {
+      return;
+    }
+    if (firstEpochWait.shouldWait(job, machine)) {
+      isWaitingForMachine = true;
+    } else {
       candidates.add(new Candidate(machine, score.score(job, machine)));
     }
   }
--- a/src/main/java/org/snowturn/core/scheduling/JobPlacement.java
+++ b/src/main/java/org/snowturn/core/scheduling/JobPlacement.java
@@ -82,8 +82,7 @@
       candidates.offer(machine);
     }
     if (candidates.isEmpty()) {
-      recordUnplaceable(job.spec);
-      return false;
+      return isRoomAwaited(job.spec);
     }
     return placeTasks(job, usableMachines, maxTasks);
   }
@@ -118,10 +117,7 @@
     }
     Machine best = candidates.poll(task);
     if (best == null) {
-      if (candidates.isEmpty()) {
-        recordUnplaceable(job.spec);
-      }
-      return Result.NO_ROOM;
+      return candidates.isEmpty() && isRoomAwaited(job.spec) ? Result.DEFERRED : Result.NO_ROOM;
     }
     if (job.spec.isService()
         && score.isFetchTooLate(job.spec, best)
@@ -148,6 +144,17 @@
     return false;
   }
 
+  /**
+   * Returns whether the tasks wait for a machine that has room. If not, no machine has room for
+   * such a task in this round.
+   */
+  private boolean isRoomAwaited(JobSpec spec) {
+    if (!candidates.isWaitingForMachine()) {
+      recordUnplaceable(spec);
+    }
+    return candidates.isWaitingForMachine();
+  }
+
   /** Records that no machine has room for such a task, unless constraints may be the cause. */
   private void recordUnplaceable(JobSpec spec) {
     if (PlacementConstraints.isUnconstrained(spec)) {
--- a/src/main/java/org/snowturn/core/scheduling/PlacementScore.java
+++ b/src/main/java/org/snowturn/core/scheduling/PlacementScore.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.snowturn.config.Settings;
+import org.snowturn.core.assignment.StartDelivery;
 import org.snowturn.core.model.Job;
 import org.snowturn.core.model.Machine;
 import org.snowturn.core.model.PreemptionRate;
@@ -22,6 +23,9 @@
   /** Penalty for an on-demand machine that would have no room left for a service replica. */
   private static final double CROWDED_PENALTY_S = 12;
 
+  /** Time in which a machine that is prompted to send a heartbeat gets a start in the answer. */
+  private static final double PROMPTED_START_DELAY_S = 0.3;
+
   /** Penalty for a machine without a replica's image, in addition to the fetch time. */
   private static final double FETCH_PENALTY_S = 1;
 
@@ -48,7 +52,9 @@
 
   private final PreemptionRate spotPreemptions;
   private final Map<String, Double> maxStartDelayS = new HashMap<>();
+  private final double heartbeatIntervalS;
   private double overprovisioning;
+  private long nowMs;
   private double largestReplicaCpus;
 
   /**
@@ -58,6 +64,7 @@
    */
   PlacementScore(Settings settings, PreemptionRate spotPreemptions) {
     this.spotPreemptions = spotPreemptions;
+    this.heartbeatIntervalS = settings.workers().heartbeatIntervalS();
     for (Settings.Objective objective : settings.objectives()) {
       if (objective.kind().equals("wait")) {
         maxStartDelayS.merge(objective.jobClass(), objective.withinS(), Math::min);
@@ -69,10 +76,12 @@
    * Starts a scheduling round. The caller then passes each job to {@link #recordReplicaSize} before
    * it asks for scores.
    *
+   * @param now the current time, in milliseconds of the monotonic clock
    * @param newOverprovisioning the degree of overprovisioning from 0 to 1, as described at {@link
    *     SchedulingPolicy}
    */
-  void beginRound(double newOverprovisioning) {
+  void beginRound(long now, double newOverprovisioning) {
+    nowMs = now;
     overprovisioning = newOverprovisioning;
     largestReplicaCpus = 0;
   }
@@ -93,7 +102,8 @@
    */
   double score(Job job, Machine machine) {
     JobSpec spec = job.spec;
-    double score = 0;
+    double startDelayS = startDelayS(machine);
+    double score = startDelayS + (isTooLate(spec, startDelayS) ? LATE_START_PENALTY_S : 0);
     if (!machine.images.containsKey(spec.image())) {
       score += fetchS(spec, machine) + (isFetchTooLate(spec, machine) ? LATE_START_PENALTY_S : 0);
     }
@@ -147,6 +157,22 @@
     return probability * runS / 2;
   }
 
+  /** Returns the expected time in seconds until the machine gets a start. */
+  private double startDelayS(Machine machine) {
+    if (!machine.session.isInFirstEpoch() || machine.session.isAnswerDeferred()) {
+      return 0;
+    }
+    if (StartDelivery.canPrompt(machine, nowMs)) {
+      return PROMPTED_START_DELAY_S;
+    }
+    double sinceHeartbeatS = machine.reachability.sinceHeartbeatAnswerMs(nowMs) / 1000.0;
+    return Math.max(PROMPTED_START_DELAY_S, heartbeatIntervalS - sinceHeartbeatS);
+  }
+
+  private boolean isTooLate(JobSpec spec, double startDelayS) {
+    return startDelayS > maxStartDelayS.getOrDefault(spec.jobClass(), Double.MAX_VALUE);
+  }
+
   /** Returns the time in seconds to fetch the image to the machine. */
   private static double fetchS(JobSpec spec, Machine machine) {
     return spec.imageGb() / Math.max(MIN_FETCH_GB_PER_S, machine.machineType().fetchGbPerS());
--- a/src/main/java/org/snowturn/core/scheduling/SchedulingOrder.java
+++ b/src/main/java/org/snowturn/core/scheduling/SchedulingOrder.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.DoubleUnaryOperator;
 import org.snowturn.config.Settings;
 import org.snowturn.core.model.Job;
 
@@ -115,22 +116,50 @@
    * @param wallMs the wall-clock time in milliseconds
    */
   Urgency urgency(Job job, double wallMs) {
+    double slackMs = minSlackMs(job, wallMs, SchedulingOrder::slack);
+    if (slackMs < urgentSlackMs) {
+      return Urgency.URGENT;
+    }
+    return slackMs < MISSED_SLACK_MS ? Urgency.CAN_WAIT : Urgency.ALL_MISSED;
+  }
+
+  /**
+   * Returns the time in milliseconds for which the job can wait without missing an objective;
+   * negative if it has missed one.
+   *
+   * @param wallMs the wall-clock time in milliseconds
+   */
+  double spareTimeMs(Job job, double wallMs) {
+    return minSlackMs(job, wallMs, DoubleUnaryOperator.identity());
+  }
+
+  /** Returns whether the job's class has an objective for the time until a task starts. */
+  boolean hasStartObjective(Job job) {
+    ClassObjectives objectives = objectivesByClass.getOrDefault(job.spec.jobClass(), NO_OBJECTIVES);
+    return !objectives.startWithinS.isEmpty();
+  }
+
+  /**
+   * Returns the least slack of the job's objectives.
+   *
+   * @param weight maps the slack of each objective to the value that is compared
+   */
+  private double minSlackMs(Job job, double wallMs, DoubleUnaryOperator weight) {
     ClassObjectives objectives = objectivesByClass.getOrDefault(job.spec.jobClass(), NO_OBJECTIVES);
     double endMs = wallMs + job.spec.estimateS() * 1000;
     double slackMs =
         Math.min(
-            slack(job.deadlineWallMs(1) - endMs),
-            slack(job.deadlineWallMs(LATE_DEADLINE_FACTOR) - endMs));
+            weight.applyAsDouble(job.deadlineWallMs(1) - endMs),
+            weight.applyAsDouble(job.deadlineWallMs(LATE_DEADLINE_FACTOR) - endMs));
     for (double withinS : objectives.startWithinS) {
-      slackMs = Math.min(slackMs, slack(job.releasedWallMs() + withinS * 1000 - wallMs));
+      double startMs = job.releasedWallMs() + withinS * 1000;
+      slackMs = Math.min(slackMs, weight.applyAsDouble(startMs - wallMs));
     }
     for (double withinS : objectives.doneWithinS) {
-      slackMs = Math.min(slackMs, slack(job.releasedWallMs() + withinS * 1000 - endMs));
+      double doneMs = job.releasedWallMs() + withinS * 1000;
+      slackMs = Math.min(slackMs, weight.applyAsDouble(doneMs - endMs));
     }
-    if (slackMs < urgentSlackMs) {
-      return Urgency.URGENT;
-    }
-    return slackMs < MISSED_SLACK_MS ? Urgency.CAN_WAIT : Urgency.ALL_MISSED;
+    return slackMs;
   }
 
   /** Returns the slack of an objective; one that is missed no longer makes a job urgent. */
--- a/src/main/java/org/snowturn/core/scheduling/TaskScheduler.java
+++ b/src/main/java/org/snowturn/core/scheduling/TaskScheduler.java
@@ -56,7 +56,12 @@
         new JobPlacement(
             assignments,
             score,
-            new CandidateQueue(constraints, score, aging, evaluations),
+            new CandidateQueue(
+                constraints,
+                score,
+                aging,
+                new FirstEpochWait(runtime, settings, policy.order()),
+                evaluations),
             new GangScheduling(machines, constraints),
             preemptor,
             this::onPlaced);
@@ -81,7 +86,7 @@
     List<Machine> usableMachines = usableMachines(now);
     List<Job> waiting = new ArrayList<>();
     List<Job> suspected = new ArrayList<>();
-    score.beginRound(policy.overprovisioning().getAsDouble());
+    score.beginRound(now, policy.overprovisioning().getAsDouble());
     fairOrdering.beginRound(assignments.jobs(), now);
     collectJobs(now, waiting, suspected);
     jobPlacement.beginRound();
--- a/src/main/java/org/snowturn/wire/Command.java
+++ b/src/main/java/org/snowturn/wire/Command.java
@@ -26,6 +26,16 @@
     }
   }
 
+  /**
+   * Returns the body of a 200 (OK) response to a heartbeat that carries no token. A worker drops
+   * it, so that its lease is not renewed, and stays with this controller.
+   */
+  public static ObjectNode responseWithoutToken() {
+    ObjectNode object = Json.object();
+    object.putArray("orders");
+    return object;
+  }
+
   /** Returns the body of a 200 (OK) response to a heartbeat. */
   public static ObjectNode heartbeatResponse(long token, List<Command> commands) {
     ObjectNode object = Json.object();
--- a/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
+++ b/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
@@ -97,6 +97,9 @@
           return true;
         }
 
+        @Override
+        public void raiseToken(Machine machine) {}
+
         @Override
         public void onReadyToSend(CommandQueue queue) {}
 
@@ -112,7 +115,11 @@
     AttemptGuard guard =
         new AttemptGuard(runtime, machines, TOKEN, HeartbeatProcessor.leaseExpiryMs(settings));
     Quota quota = new Quota(settings.teams());
-    assignments = new TaskAssignments(runtime, gate, writer, machines, quota, cancellations, guard);
+    StartFencing fencing = new StartFencing(runtime, () -> revision);
+    StartDelivery startDelivery = new StartDelivery(runtime, settings, fencing);
+    assignments =
+        new TaskAssignments(
+            runtime, gate, writer, machines, quota, cancellations, guard, startDelivery);
     heartbeats =
         new HeartbeatProcessor(
             runtime,
@@ -122,9 +129,7 @@
             machines,
             new MachineTypes(runtime),
             new PreemptionRate());
-    heartbeatCommands =
-        new HeartbeatCommands(
-            runtime, assignments, cancellations, new StartFencing(runtime, () -> revision));
+    heartbeatCommands = new HeartbeatCommands(runtime, assignments, cancellations, fencing);
     machine = machines.getOrAdd("i-1");
     runtime.setTime(now, now);
     heartbeats.apply(machine, report(1, List.of()));
--- /dev/null
+++ b/src/test/java/org/snowturn/core/dispatch/CommandQueueTest.java
@@ -0,0 +1,125 @@
+package org.snowturn.core.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.snowturn.core.Effect;
+import org.snowturn.core.Input;
+import org.snowturn.core.Outcome;
+import org.snowturn.core.effects.CoreRuntime;
+import org.snowturn.core.model.Machine;
+import org.snowturn.wire.Command;
+import org.snowturn.wire.Heartbeat;
+import org.snowturn.wire.Json;
+
+/**
+ * Guards against a direct start that a machine executes once more after it has come back without
+ * its memory, in its first agent epoch and with no token (ran_twice).
+ */
+class CommandQueueTest {
+  private static final long TOKEN = 7;
+  private static final long RAISED_TOKEN = 12;
+  private static final Command START = new Command(Command.Op.START, "wk-000001", 0, 70, 0);
+  private static final Command STOP = new Command(Command.Op.STOP, "wk-000001", 0, 70, 0);
+
+  private final CoreRuntime runtime = new CoreRuntime(1);
+  private final Machine machine = new Machine(0, "i-1", TOKEN);
+  private final CommandQueue queue = new CommandQueue(runtime, new Host(), machine);
+
+  private static final class Host implements CommandQueue.Host {
+    @Override
+    public boolean hasAuthority() {
+      return true;
+    }
+
+    @Override
+    public void onHeartbeat(Heartbeat heartbeat) {}
+
+    @Override
+    public boolean canStart(Machine machine, Command start) {
+      return true;
+    }
+
+    @Override
+    public void raiseToken(Machine machine) {
+      machine.fence.raiseToken(RAISED_TOKEN);
+    }
+
+    @Override
+    public void onReadyToSend(CommandQueue queue) {}
+
+    @Override
+    public void onMessageUnanswered(Machine machine) {}
+  }
+
+  @BeforeEach
+  void setUp() {
+    runtime.setTime(1_000, 1_000);
+    machine.setAddress("a:1");
+  }
+
+  /** Flushes the queue and returns the message that it sends, if it sends one. */
+  private List<Effect.Call> flush() {
+    queue.flush();
+    return runtime.drainEffects().stream()
+        .filter(Effect.Call.class::isInstance)
+        .map(Effect.Call.class::cast)
+        .toList();
+  }
+
+  private void refuse(Effect.Call call, long agentEpoch) {
+    ObjectNode heartbeat = Json.object().put("drift", "i-1").put("addr", "a:1").put("hull", "t8");
+    heartbeat.put("field", "z").put("loaners", true).put("thaw", agentEpoch).put("tally", 1);
+    heartbeat.put("baton", 0).putArray("flakes");
+    runtime.handleReply(new Input.Reply(call.id(), Outcome.ANSWERED, 409, heartbeat));
+  }
+
+  @Test
+  void noStartIsSentDirectlyInTheFirstAgentEpoch() {
+    machine.session.setEpoch(1);
+    queue.add(START);
+    queue.add(STOP);
+
+    JsonNode body = flush().get(0).body();
+
+    assertEquals(1, body.path("orders").size());
+    assertEquals("halt", body.path("orders").get(0).path("verb").asText());
+  }
+
+  @Test
+  void startsAreSentDirectlyFromTheSecondAgentEpochOn() {
+    machine.session.setEpoch(2);
+    queue.add(START);
+
+    JsonNode body = flush().get(0).body();
+
+    assertEquals("start", body.path("orders").get(0).path("verb").asText());
+    assertEquals(2, body.path("thaw").asLong());
+  }
+
+  @Test
+  void machineThatIsBackInAnEarlierEpochGetsHigherTokenThanItsFormerStarts() {
+    machine.session.setEpoch(3);
+    queue.add(START);
+    refuse(flush().get(0), 1);
+
+    JsonNode body = flush().get(0).body();
+
+    assertTrue(body.path("orders").isEmpty());
+    assertEquals(1, body.path("thaw").asLong());
+    assertEquals(RAISED_TOKEN, body.path("baton").asLong());
+  }
+
+  @Test
+  void firstMessageNamesTheRecordedAgentEpoch() {
+    machine.session.setRecordedEpoch(4);
+    queue.probe();
+
+    assertEquals(4, flush().get(0).body().path("thaw").asLong());
+  }
+}
--- a/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
@@ -56,6 +56,11 @@
   private boolean shouldReportSoon;
   private boolean isAwaitingAnswer;
 
+  /** Whether the last heartbeat found no leader, so that the next one goes elsewhere, later. */
+  private boolean isSeekingEndpoint;
+
+  private long reportSentAt;
+
   SimulatedWorker(SimulatedCluster cluster, SimulatedCloud.RentedMachine machine) {
     this.cluster = cluster;
     this.machine = machine;
@@ -121,6 +126,7 @@
       tasks.clear();
       session++;
       leaseRenewedAt = cluster.now;
+      onChange();
     }
   }
 
@@ -164,7 +170,9 @@
       return;
     }
     isAwaitingAnswer = true;
+    isSeekingEndpoint = false;
     shouldReportSoon = false;
+    reportSentAt = cluster.now;
     Endpoint endpoint = cluster.endpoints.get(endpointIndex);
     long sentAt = cluster.now;
     long sessionAtSend = session;
@@ -197,6 +205,7 @@
   }
 
   private void reportToNextEndpoint(long delayMs) {
+    isSeekingEndpoint = true;
     endpointIndex = (endpointIndex + 1) % cluster.endpoints.size();
     reportAfter(delayMs);
   }
@@ -216,16 +225,23 @@
       reportToNextEndpoint(NEXT_ENDPOINT_DELAY_MS);
       return;
     }
-    long answeredToken = reply.path("baton").asLong();
+    // An answer without a token is dropped; it only keeps the worker at this endpoint.
+    if (reply.has("baton")) {
+      executeAnswer(reply, sentAt, sessionAtSend);
+    }
+    long intervalMs = (long) (workerSettings().heartbeatIntervalS() * 1000);
+    long usualDelayMs = intervalMs * 3 / 4 + cluster.random.nextInt((int) (intervalMs / 2));
+    reportAfter(shouldReportSoon ? EARLY_REPORT_DELAY_MS : usualDelayMs);
+  }
+
+  private void executeAnswer(JsonNode answer, long sentAt, long sessionAtSend) {
+    long answeredToken = answer.path("baton").asLong();
     TokenOwnership.check(cluster, cluster.endpoints.get(endpointIndex).name, answeredToken);
     if (answeredToken >= token && sessionAtSend == session) {
       updateToken(answeredToken);
       leaseRenewedAt = Math.max(leaseRenewedAt, sentAt);
-      executeCommands(reply.path("orders"), cluster.answerSentAt);
+      executeCommands(answer.path("orders"), cluster.answerSentAt);
     }
-    long intervalMs = (long) (workerSettings().heartbeatIntervalS() * 1000);
-    long usualDelayMs = intervalMs * 3 / 4 + cluster.random.nextInt((int) (intervalMs / 2));
-    reportAfter(shouldReportSoon ? EARLY_REPORT_DELAY_MS : usualDelayMs);
   }
 
   private void reportAfter(long delayMs) {
@@ -251,6 +267,19 @@
     token = Math.max(token, receivedToken);
   }
 
+  /** Reports a change of the tasks or the session early, at most once in half a second. */
+  private void onChange() {
+    shouldReportSoon = true;
+    if (!isAwaitingAnswer && !isSeekingEndpoint) {
+      reportAfter(Math.max(0, reportSentAt + EARLY_REPORT_DELAY_MS - cluster.now));
+    }
+  }
+
+  private void end(SimulatedTask task, String cause) {
+    task.end(cause);
+    onChange();
+  }
+
   /** Answers a status request of any sender. */
   void handleStatus(SimulatedCluster.ReplyHandler reply) {
     if (!dead && !hung) {
@@ -314,13 +343,14 @@
         }
         case "halt" -> {
           if (task != null && task.isAlive()) {
-            task.end("halted");
+            end(task, "halted");
           }
         }
         case "forget" -> {
           if (task != null && !task.isAlive()) {
             formerAttempts.add(key);
             tasks.remove(key);
+            onChange();
           }
         }
         default -> throw new IllegalStateException("unknown verb in command: " + command);
@@ -344,12 +374,13 @@
       }
     }
     tasks.put(key, task);
+    onChange();
     if (spec == null) {
-      task.end("no_such");
+      end(task, "no_such");
     } else if (hasLiveAttempt) {
-      task.end("busy");
+      end(task, "busy");
     } else if (cpus + spec.cpus() > cluster.parameters.cpus()) {
-      task.end("full");
+      end(task, "full");
     } else {
       long startSession = session;
       if (images.contains(spec.image())) {
@@ -371,11 +402,12 @@
       return;
     }
     task.run();
+    onChange();
     cluster.invariants.onTaskStarted(this, task, spec);
     if (failing || cluster.clients.alwaysFails(task.job)) {
-      task.end("error");
+      end(task, "error");
     } else if (cluster.clients.hasResult(task.name())) {
-      task.end("done");
+      end(task, "done");
     } else if (!spec.isService()) {
       long ms = (long) (cluster.clients.runMs(task.job, task.index) * runtimeFactor);
       cluster.after(ms, () -> complete(task, startSession));
@@ -388,7 +420,7 @@
       cluster.after(HUNG_RETRY_MS, () -> complete(task, startSession));
     } else if (!dead && startSession == session && task.isAlive()) {
       cluster.clients.recordResult(task.name());
-      task.end("done");
+      end(task, "done");
     }
   }
 }
