--- a/src/main/java/org/snowturn/core/assignment/MachineRegistry.java
+++ b/src/main/java/org/snowturn/core/assignment/MachineRegistry.java
@@ -166,7 +166,7 @@
   private ObjectNode firstFormat(Page page, int maxImages) {
     ObjectNode object = Json.object().put("v", StorageKeys.FIRST_FORMAT);
     ArrayNode all = object.putArray("m");
-    ImageNames names = new ImageNames(object, maxImages);
+    RegistryImageNames names = new RegistryImageNames(object, maxImages);
     for (Machine machine : page.machines) {
       ArrayNode entry = all.addArray();
       entry
@@ -188,7 +188,7 @@
     ObjectNode object = Json.object().put("v", StorageKeys.SECOND_FORMAT);
     ArrayNode kinds = object.putArray("k");
     ArrayNode all = object.putArray("m");
-    ImageNames names = new ImageNames(object, maxImages);
+    RegistryImageNames names = new RegistryImageNames(object, maxImages);
     Map<ArrayNode, Integer> kindNumbers = new HashMap<>();
     for (Machine machine : page.machines) {
       ArrayNode kind =
@@ -219,38 +219,6 @@
     }
   }
 
-  /** The image names of a page, each written once; machines refer to them by number. */
-  private static final class ImageNames {
-    private final ArrayNode names;
-    private final int maxImages;
-    private final Map<String, Integer> numbers = new HashMap<>();
-
-    ImageNames(ObjectNode page, int maxImages) {
-      this.names = maxImages > 0 ? page.putArray("i") : null;
-      this.maxImages = maxImages;
-    }
-
-    /** Adds the numbers of the machine's most recently used images to its entry. */
-    void add(Machine machine, ArrayNode entry) {
-      if (names == null) {
-        return;
-      }
-      ArrayNode imageNumbers = entry.addArray();
-      int skipped = Math.max(0, machine.images.size() - maxImages);
-      for (Map.Entry<String, Double> image : machine.images.leastRecentlyUsedFirst()) {
-        if (skipped-- > 0) {
-          continue;
-        }
-        Integer imageNumber = numbers.putIfAbsent(image.getKey(), numbers.size());
-        if (imageNumber == null) {
-          names.addArray().add(image.getKey()).add(image.getValue());
-          imageNumber = numbers.size() - 1;
-        }
-        imageNumbers.add(imageNumber);
-      }
-    }
-  }
-
   /**
    * Writes a machine to the registry. It may receive tasks once its entry is durable.
    *
@@ -319,34 +287,37 @@
    */
   public void writeChangedPages() {
     for (Page page : List.copyOf(pages)) {
-      if (page.splitting || split(page)) {
-        continue; // written once it fits into a value
-      }
-      boolean hasChangedImages = hasChangedImages(page);
-      removeTerminated(page);
-      if (page.hasRemovals
-          && runtime.now() - page.removalsWrittenAt > MIN_REMOVALS_WRITE_INTERVAL_MS) {
-        // The next leader treats tasks on removed machines as ended and does not wait for leases to
-        // expire. So removals are written before placements, but at a limited rate, since many
-        // machines may terminate one after the other.
-        page.removalsWrittenAt = runtime.now();
-        page.hasRemovals = false;
-        writer.enqueue(page.record, HIGHEST_URGENCY, null);
-      } else if (hasChangedImages
-          && runtime.now() - page.imagesWrittenAt > MIN_IMAGES_WRITE_INTERVAL_MS) {
-        page.imagesWrittenAt = runtime.now();
-        page.machines.forEach(machine -> machine.images.markStored());
-        writer.enqueue(page.record, RecordWriter.DEFERRABLE_URGENCY, null);
-      } else if (gate.isOpen()
-          && hasChangedEpochs(page)
-          && runtime.now() - page.epochsWrittenAt > MIN_EPOCHS_WRITE_INTERVAL_MS) {
-        page.epochsWrittenAt = runtime.now();
-        page.machines.forEach(machine -> machine.session.markEpochRecorded());
-        writer.enqueue(page.record, RecordWriter.DEFERRABLE_URGENCY, null);
+      if (!page.splitting && !split(page)) { // otherwise written once it fits into a value
+        writeIfChanged(page);
       }
     }
   }
 
+  private void writeIfChanged(Page page) {
+    boolean hasChangedImages = hasChangedImages(page);
+    removeTerminated(page);
+    if (page.hasRemovals
+        && runtime.now() - page.removalsWrittenAt > MIN_REMOVALS_WRITE_INTERVAL_MS) {
+      // The next leader treats tasks on removed machines as ended and does not wait for leases to
+      // expire. So removals are written before placements, but at a limited rate, since many
+      // machines may terminate one after the other.
+      page.removalsWrittenAt = runtime.now();
+      page.hasRemovals = false;
+      writer.enqueue(page.record, HIGHEST_URGENCY, null);
+    } else if (hasChangedImages
+        && runtime.now() - page.imagesWrittenAt > MIN_IMAGES_WRITE_INTERVAL_MS) {
+      page.imagesWrittenAt = runtime.now();
+      page.machines.forEach(machine -> machine.images.markStored());
+      writer.enqueue(page.record, RecordWriter.DEFERRABLE_URGENCY, null);
+    } else if (gate.isOpen()
+        && hasChangedEpochs(page)
+        && runtime.now() - page.epochsWrittenAt > MIN_EPOCHS_WRITE_INTERVAL_MS) {
+      page.epochsWrittenAt = runtime.now();
+      page.machines.forEach(machine -> machine.session.markEpochRecorded());
+      writer.enqueue(page.record, RecordWriter.DEFERRABLE_URGENCY, null);
+    }
+  }
+
   /** Returns whether a machine on the page has left its first agent epoch since it was written. */
   private static boolean hasChangedEpochs(Page page) {
     for (Machine machine : page.machines) {
--- a/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
+++ b/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
@@ -39,7 +39,6 @@
   private final MachineIndex machines;
   private final Quota quota;
   private final AttemptGuard guard;
-  private final StartDelivery startDelivery;
   private final JobRegistry registry;
   private final JobCompletion completion;
   private final TaskRecordLoader loader;
@@ -53,7 +52,6 @@
    * Creates an empty set of jobs and assignments.
    *
    * @param guard decides whether an attempt has ended and whether a start command may be sent
-   * @param startDelivery delivers the starts of placed tasks
    */
   public TaskAssignments(
       CoreRuntime runtime,
@@ -62,10 +60,8 @@
       MachineIndex machines,
       Quota quota,
       KnownCancellations cancellations,
-      AttemptGuard guard,
-      StartDelivery startDelivery) {
+      AttemptGuard guard) {
     this.guard = guard;
-    this.startDelivery = startDelivery;
     this.runtime = runtime;
     this.writer = writer;
     this.machines = machines;
@@ -290,7 +286,7 @@
         .with(LogField.AGENT_EPOCH, machine.epoch())
         .with(LogField.TOKEN, machine.fence.token())
         .write();
-    startDelivery.deliver(machine, startCommand(job, task));
+    machine.commands().add(startCommand(job, task));
   }
 
   /** Returns whether a queued start command may still be sent to this machine. */
--- a/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
+++ b/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
@@ -52,6 +52,9 @@
     /** Handles a queue that has something to send and waits for {@link CommandQueue#flush}. */
     void onReadyToSend(CommandQueue queue);
 
+    /** Handles a start that only the answer to a heartbeat of the machine may carry. */
+    void onStartDue(Machine machine);
+
     /** Raises the token of messages to the machine, if a higher one is available. */
     void raiseToken(Machine machine);
 
@@ -77,8 +80,17 @@
     this.machine = machine;
   }
 
+  /**
+   * Adds a command to the next message. A start does not name the first agent epoch: a machine that
+   * has lost its memory is in it again, has seen no token and would execute a late copy. It is sent
+   * in the answer to a heartbeat instead, which reaches no other incarnation of the agent.
+   */
   @Override
   public void add(Command command) {
+    if (command.op() == Command.Op.START && machine.session.isInFirstEpoch()) {
+      host.onStartDue(machine);
+      return;
+    }
     queue.put(key(command), command);
     requestFlush();
   }
@@ -145,7 +157,8 @@
       return;
     }
     List<Command> commands = new ArrayList<>(queue.values());
-    commands.removeIf(command -> command.op() == Command.Op.START && !canSendStart(command));
+    commands.removeIf(
+        command -> command.op() == Command.Op.START && !host.canStart(machine, command));
     queue.clear();
     if (commands.isEmpty() && !isProbeRequested) {
       return;
@@ -162,14 +175,6 @@
     send(agentEpoch, List.of(), List.of());
   }
 
-  /**
-   * Returns whether a start may be sent directly. It must not name the first agent epoch, in which
-   * a machine that has lost its memory would execute a late copy of it.
-   */
-  private boolean canSendStart(Command start) {
-    return !machine.session.isInFirstEpoch() && host.canStart(machine, start);
-  }
-
   private boolean canSend() {
     return !isBusy
         && machine.address() != null
--- a/src/main/java/org/snowturn/core/leader/AssignmentServices.java
+++ b/src/main/java/org/snowturn/core/leader/AssignmentServices.java
@@ -8,7 +8,6 @@
 import org.snowturn.core.assignment.JobListener;
 import org.snowturn.core.assignment.KnownCancellations;
 import org.snowturn.core.assignment.MachineRegistry;
-import org.snowturn.core.assignment.StartDelivery;
 import org.snowturn.core.assignment.StartFencing;
 import org.snowturn.core.assignment.TaskAssignments;
 import org.snowturn.core.dependency.DependencyGraph;
@@ -37,7 +36,6 @@
  * @param heartbeatProcessor applies heartbeats to the state of machines and tasks
  * @param heartbeatCommands chooses the commands with which a heartbeat is answered
  * @param startFencing raises the tokens of machines
- * @param startDelivery delivers the starts of placed tasks
  */
 record AssignmentServices(
     MachineIndex machines,
@@ -50,8 +48,7 @@
     PreemptionRate preemptionRate,
     HeartbeatProcessor heartbeatProcessor,
     HeartbeatCommands heartbeatCommands,
-    StartFencing startFencing,
-    StartDelivery startDelivery) {
+    StartFencing startFencing) {
 
   /**
    * Creates the services of a term, without any job or machine.
@@ -77,18 +74,9 @@
     AttemptGuard attemptGuard =
         new AttemptGuard(
             runtime, machines, term.token(), HeartbeatProcessor.leaseExpiryMs(shared.settings()));
-    StartFencing startFencing = new StartFencing(runtime, writer::committedRevision);
-    StartDelivery startDelivery = new StartDelivery(runtime, shared.settings(), startFencing);
     TaskAssignments assignments =
-        new TaskAssignments(
-            runtime,
-            formatGate,
-            writer,
-            machines,
-            new Quota(shared.settings().teams()),
-            cancellations,
-            attemptGuard,
-            startDelivery);
+        newAssignments(shared, machines, writer, attemptGuard, cancellations);
+    StartFencing startFencing = new StartFencing(runtime, writer::committedRevision);
     DependencyGraph dependencyGraph = new DependencyGraph(runtime, formatGate, assignments, writer);
     FailureHandler failureHandler = new FailureHandler(runtime, shared.tunables().sickErrors());
     addJobListeners(assignments, dependencyGraph, failureHandler, cancellations);
@@ -102,17 +90,41 @@
         failureHandler,
         new MachineRegistry(runtime, writer, machines, formatGate),
         preemptionRate,
-        new HeartbeatProcessor(
-            runtime,
-            shared.settings(),
-            failureHandler,
-            assignments,
-            machines,
-            shared.machineTypes(),
-            preemptionRate),
+        newHeartbeatProcessor(shared, failureHandler, assignments, machines, preemptionRate),
         new HeartbeatCommands(runtime, assignments, cancellations, startFencing),
-        startFencing,
-        startDelivery);
+        startFencing);
+  }
+
+  private static HeartbeatProcessor newHeartbeatProcessor(
+      LeaderDependencies shared,
+      FailureHandler failureHandler,
+      TaskAssignments assignments,
+      MachineIndex machines,
+      PreemptionRate preemptionRate) {
+    return new HeartbeatProcessor(
+        shared.runtime(),
+        shared.settings(),
+        failureHandler,
+        assignments,
+        machines,
+        shared.machineTypes(),
+        preemptionRate);
+  }
+
+  private static TaskAssignments newAssignments(
+      LeaderDependencies shared,
+      MachineIndex machines,
+      RecordWriter writer,
+      AttemptGuard attemptGuard,
+      KnownCancellations cancellations) {
+    return new TaskAssignments(
+        shared.runtime(),
+        shared.formatGate(),
+        writer,
+        machines,
+        new Quota(shared.settings().teams()),
+        cancellations,
+        attemptGuard);
   }
 
   private static void addJobListeners(
--- a/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
+++ b/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.snowturn.core.assignment.HeartbeatCommands;
+import org.snowturn.core.assignment.HeartbeatPrompts;
 import org.snowturn.core.dispatch.CommandLog;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.effects.LogEvent;
@@ -35,6 +36,7 @@
   private final HeartbeatCommands heartbeatCommands;
   private final LeaderRecovery recovery;
   private final ReachabilityChecks reachability;
+  private final HeartbeatPrompts heartbeatPrompts;
   private final DeferredAnswers deferredAnswers;
   private final long maxPromptAnswerIntervalMs;
 
@@ -55,7 +57,8 @@
     this.maxPromptAnswerIntervalMs =
         (long) (shared.settings().workers().leaseS() * 1000 * MAX_PROMPT_ANSWER_INTERVAL_LEASES);
     this.deferredAnswers = new DeferredAnswers(shared.settings());
-    services.startDelivery().setAnswerNeededHandler(this::onAnswerNeeded);
+    this.heartbeatPrompts =
+        new HeartbeatPrompts(runtime, shared.settings(), services.startFencing());
   }
 
   /**
@@ -124,9 +127,9 @@
   }
 
   /** Handles a durable start which only the answer to a heartbeat of the machine may carry. */
-  private void onAnswerNeeded(Machine machine) {
+  void onStartDue(Machine machine) {
     if (!deferredAnswers.onStartDue(machine, runtime.now())) {
-      services.startDelivery().prompt(machine);
+      heartbeatPrompts.prompt(machine);
     }
   }
 
@@ -181,7 +184,7 @@
     }
     services.heartbeatProcessor().onLeaseRenewed(machine);
     if (heartbeat.seenToken() < machine.fence.token()) {
-      services.startDelivery().onTokenRaised(machine);
+      heartbeatPrompts.onTokenRaised(machine);
     }
     answer(exchange, machine, heartbeat, answer.commands());
   }
@@ -255,7 +258,9 @@
 
   /** Returns the gauges of the answers, by metric name. */
   Map<String, Double> gauges() {
-    return Map.of("snowturn.heartbeats.deferred", (double) deferredAnswers.deferredCount());
+    return Map.of(
+        "snowturn.heartbeats.deferred", (double) deferredAnswers.deferredCount(),
+        "snowturn.heartbeats.prompted", (double) heartbeatPrompts.prompts());
   }
 
   private void answer(long exchange, Machine machine, Heartbeat heartbeat, List<Command> commands) {
--- a/src/main/java/org/snowturn/core/leader/Leader.java
+++ b/src/main/java/org/snowturn/core/leader/Leader.java
@@ -258,6 +258,11 @@
     return assignments.canStart(machine, start);
   }
 
+  @Override
+  public void onStartDue(Machine machine) {
+    heartbeatHandler.onStartDue(machine);
+  }
+
   @Override
   public void raiseToken(Machine machine) {
     services.startFencing().raiseToken(machine);
--- a/src/main/java/org/snowturn/core/leader/LeaderGauges.java
+++ b/src/main/java/org/snowturn/core/leader/LeaderGauges.java
@@ -54,7 +54,6 @@
         "snowturn.placements.evaluations", (double) scheduling.scheduler().machineEvaluations());
     gauges.put("snowturn.command.queues.flushed", (double) dispatcher.flushCount());
     gauges.putAll(services.heartbeatCommands().gauges());
-    gauges.putAll(services.startDelivery().gauges());
     gauges.putAll(heartbeatHandler.gauges());
     gauges.put(
         "snowturn.heartbeats.unknown.token",
--- a/src/main/java/org/snowturn/core/model/Machine.java
+++ b/src/main/java/org/snowturn/core/model/Machine.java
@@ -153,6 +153,14 @@
     }
   }
 
+  /**
+   * Returns the time since a heartbeat of the machine was last answered, in milliseconds; 0 if none
+   * was.
+   */
+  public long sinceHeartbeatAnswerMs(long now) {
+    return reachability.sinceHeartbeatAnswerMs(now);
+  }
+
   /** Changes the number of assigned tasks whose placements are not durable yet. */
   public void addPendingPlacements(int change) {
     pendingPlacements += change;
--- a/src/main/java/org/snowturn/core/scheduling/PlacementScore.java
+++ b/src/main/java/org/snowturn/core/scheduling/PlacementScore.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.snowturn.config.Settings;
-import org.snowturn.core.assignment.StartDelivery;
+import org.snowturn.core.assignment.HeartbeatPrompts;
 import org.snowturn.core.model.Job;
 import org.snowturn.core.model.Machine;
 import org.snowturn.core.model.PreemptionRate;
@@ -162,10 +162,10 @@
     if (!machine.session.isInFirstEpoch() || machine.session.isAnswerDeferred()) {
       return 0;
     }
-    if (StartDelivery.canPrompt(machine, nowMs)) {
+    if (HeartbeatPrompts.canPrompt(machine, nowMs)) {
       return PROMPTED_START_DELAY_S;
     }
-    double sinceHeartbeatS = machine.reachability.sinceHeartbeatAnswerMs(nowMs) / 1000.0;
+    double sinceHeartbeatS = machine.sinceHeartbeatAnswerMs(nowMs) / 1000.0;
     return Math.max(PROMPTED_START_DELAY_S, heartbeatIntervalS - sinceHeartbeatS);
   }
 
--- a/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
+++ b/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
@@ -37,9 +37,9 @@
 import org.snowturn.wire.TaskStatus.State;
 
 /**
- * Guards against tasks of cancelled jobs that keep running because a machine's lease is renewed
- * without stopping them (docs/safety.md). This can happen if messages overtake each other or if a
- * start is still in flight: then the answer must carry all stops or not renew the lease.
+ * Guards against tasks of cancelled jobs that keep running because a lease is renewed without stops
+ * for them (docs/safety.md). If messages overtake each other or a start is still in flight, the
+ * answer must carry all stops or not renew the lease.
  */
 class HeartbeatCommandsTest {
   private static final long TOKEN = 7;
@@ -97,6 +97,9 @@
           return true;
         }
 
+        @Override
+        public void onStartDue(Machine machine) {}
+
         @Override
         public void raiseToken(Machine machine) {}
 
@@ -116,10 +119,7 @@
         new AttemptGuard(runtime, machines, TOKEN, HeartbeatProcessor.leaseExpiryMs(settings));
     Quota quota = new Quota(settings.teams());
     StartFencing fencing = new StartFencing(runtime, () -> revision);
-    StartDelivery startDelivery = new StartDelivery(runtime, settings, fencing);
-    assignments =
-        new TaskAssignments(
-            runtime, gate, writer, machines, quota, cancellations, guard, startDelivery);
+    assignments = new TaskAssignments(runtime, gate, writer, machines, quota, cancellations, guard);
     heartbeats =
         new HeartbeatProcessor(
             runtime,
--- a/src/test/java/org/snowturn/core/dispatch/CommandQueueTest.java
+++ b/src/test/java/org/snowturn/core/dispatch/CommandQueueTest.java
@@ -45,6 +45,11 @@
       return true;
     }
 
+    @Override
+    public void onStartDue(Machine machine) {
+      machine.addPendingPlacements(1);
+    }
+
     @Override
     public void raiseToken(Machine machine) {
       machine.fence.raiseToken(RAISED_TOKEN);
@@ -89,6 +94,7 @@
 
     assertEquals(1, body.path("orders").size());
     assertEquals("halt", body.path("orders").get(0).path("verb").asText());
+    assertEquals(1, machine.pendingPlacements(), "the host is told of the start");
   }
 
   @Test
--- a/src/testbench/java/org/snowturn/simulation/SimulatedCloud.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedCloud.java
@@ -41,6 +41,13 @@
 
     /** The worker on the machine; null until it has booted. */
     SimulatedWorker worker;
+
+    /** Returns the part of a heartbeat that describes the machine. */
+    ObjectNode describe(String address) {
+      ObjectNode object = Json.object();
+      object.put("drift", id).put("addr", address).put("hull", "t8").put("field", zone);
+      return object.put("loaners", spot);
+    }
   }
 
   private final SimulatedCluster cluster;
--- a/src/testbench/java/org/snowturn/simulation/SimulatedTask.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedTask.java
@@ -1,5 +1,9 @@
 package org.snowturn.simulation;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.Json;
+
 /** An attempt of a task on a simulated machine; phases and causes are those of PROTOCOL. */
 final class SimulatedTask {
   final String job;
@@ -59,6 +63,32 @@
     cause = reason;
   }
 
+  /** Returns the attempt as a heartbeat lists it. */
+  ObjectNode describe() {
+    ObjectNode object = Json.object().put("flake", name()).put("try", attempt).put("phase", phase);
+    return cause == null ? object : object.put("cause", cause);
+  }
+
+  /**
+   * Returns why a machine refuses to start the attempt; null if it does not.
+   *
+   * @param others the attempts that the machine lists
+   */
+  String refusalReason(SimulatedCluster cluster, Iterable<SimulatedTask> others) {
+    JobSpec spec = cluster.clients.spec(job);
+    if (spec == null) {
+      return "no_such";
+    }
+    double cpus = spec.cpus();
+    for (SimulatedTask other : others) {
+      if (other.isAlive() && other.name().equals(name())) {
+        return "busy";
+      }
+      cpus += other.isAlive() ? cluster.clients.spec(other.job).cpus() : 0;
+    }
+    return cpus > cluster.parameters.cpus() ? "full" : null;
+  }
+
   boolean isRunning() {
     return phase.equals("running");
   }
--- a/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
@@ -10,7 +10,6 @@
 import org.snowturn.config.Settings;
 import org.snowturn.core.Outcome;
 import org.snowturn.wire.JobSpec;
-import org.snowturn.wire.Json;
 
 /** The simulated worker, as PROTOCOL describes it. */
 final class SimulatedWorker {
@@ -55,10 +54,7 @@
   private long earlyReportAt = Long.MIN_VALUE / 2;
   private boolean shouldReportSoon;
   private boolean isAwaitingAnswer;
-
-  /** Whether the last heartbeat found no leader, so that the next one goes elsewhere, later. */
-  private boolean isSeekingEndpoint;
-
+  private boolean isSeekingEndpoint; // the last heartbeat found no leader
   private long reportSentAt;
 
   SimulatedWorker(SimulatedCluster cluster, SimulatedCloud.RentedMachine machine) {
@@ -139,25 +135,14 @@
   }
 
   private ObjectNode statusBody() {
-    ObjectNode object = Json.object();
-    object.put("drift", machine.id).put("addr", addr).put("hull", "t8").put("field", machine.zone);
-    object
-        .put("loaners", machine.spot)
-        .put("thaw", session)
-        .put("tally", ++reportSequence)
-        .put("baton", token);
+    ObjectNode body = machine.describe(addr);
+    body.put("thaw", session).put("tally", ++reportSequence).put("baton", token);
     if (!Double.isNaN(reclaimNoticeS)) {
-      object.put("recall_s", reclaimNoticeS);
-    }
-    ArrayNode array = object.putArray("flakes");
-    for (SimulatedTask task : tasks.values()) {
-      ObjectNode status = array.addObject().put("flake", task.name()).put("try", task.attempt);
-      status.put("phase", task.phase());
-      if (task.cause() != null) {
-        status.put("cause", task.cause());
-      }
+      body.put("recall_s", reclaimNoticeS);
     }
-    return object;
+    ArrayNode list = body.putArray("flakes");
+    tasks.values().forEach(task -> list.add(task.describe()));
+    return body;
   }
 
   /** Sends a heartbeat, or waits while none can leave. */
@@ -193,15 +178,16 @@
                 });
     cluster.after(cluster.heartbeatDelayMs, () -> cluster.send(addr, endpoint.name, deliver));
     cluster.deliverCopies(addr, report);
-    cluster.after(
-        ANSWER_TIMEOUT_MS,
-        () -> {
-          if (thisReport == latestReport) {
-            latestReport++;
-            isAwaitingAnswer = false;
-            reportToNextEndpoint(NEXT_ENDPOINT_DELAY_MS);
-          }
-        });
+    cluster.after(ANSWER_TIMEOUT_MS, () -> giveUp(thisReport));
+  }
+
+  /** Gives up waiting for the answer to a heartbeat, unless it has arrived. */
+  private void giveUp(long report) {
+    if (report == latestReport) {
+      latestReport++;
+      isAwaitingAnswer = false;
+      reportToNextEndpoint(NEXT_ENDPOINT_DELAY_MS);
+    }
   }
 
   private void reportToNextEndpoint(long delayMs) {
@@ -365,29 +351,16 @@
     SimulatedTask task = new SimulatedTask(name, attempt, sentAt);
     cluster.startsWithoutLease += outboundDropped ? 1 : 0;
     JobSpec spec = cluster.clients.spec(task.job);
-    boolean hasLiveAttempt = false;
-    double cpus = 0;
-    for (SimulatedTask other : tasks.values()) {
-      if (other.isAlive()) {
-        hasLiveAttempt |= other.name().equals(name);
-        cpus += cluster.clients.spec(other.job).cpus();
-      }
-    }
+    String refusal = task.refusalReason(cluster, tasks.values());
     tasks.put(key, task);
     onChange();
-    if (spec == null) {
-      end(task, "no_such");
-    } else if (hasLiveAttempt) {
-      end(task, "busy");
-    } else if (cpus + spec.cpus() > cluster.parameters.cpus()) {
-      end(task, "full");
+    long startSession = session;
+    if (refusal != null) {
+      end(task, refusal);
+    } else if (images.contains(spec.image())) {
+      // Runs at once, so that a halt later in the same message finds the task running.
+      run(task, spec, startSession);
     } else {
-      long startSession = session;
-      if (images.contains(spec.image())) {
-        // Runs at once, so that a halt later in the same message finds the task running.
-        run(task, spec, startSession);
-        return;
-      }
       cluster.after(
           (long) (spec.imageGb() * 1000),
           () -> {
