--- a/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
+++ b/src/test/java/org/snowturn/core/assignment/HeartbeatCommandsTest.java
@@ -17,6 +17,7 @@
 import org.snowturn.core.TestSettings;
 import org.snowturn.core.TestWriterHost;
 import org.snowturn.core.dispatch.CommandQueue;
+import org.snowturn.core.dispatch.TestCommandHost;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.model.Job;
 import org.snowturn.core.model.Machine;
@@ -51,7 +52,10 @@
   private final CoreRuntime runtime = new CoreRuntime(1);
   private final FakeCancellations cancellations = new FakeCancellations();
   private final MachineIndex machines =
-      new MachineIndex(List.of("z"), TOKEN, machine -> new CommandQueue(runtime, HOST, machine));
+      new MachineIndex(
+          List.of("z"),
+          TOKEN,
+          machine -> new CommandQueue(runtime, new TestCommandHost(), machine));
   private final TaskAssignments assignments;
   private final HeartbeatProcessor heartbeats;
   private final HeartbeatCommands heartbeatCommands;
@@ -82,34 +86,6 @@
     }
   }
 
-  private static final CommandQueue.Host HOST =
-      new CommandQueue.Host() {
-        @Override
-        public boolean hasAuthority() {
-          return true;
-        }
-
-        @Override
-        public void onHeartbeat(Heartbeat heartbeat) {}
-
-        @Override
-        public boolean canStart(Machine machine, Command start) {
-          return true;
-        }
-
-        @Override
-        public void onStartDue(Machine machine) {}
-
-        @Override
-        public void raiseToken(Machine machine) {}
-
-        @Override
-        public void onReadyToSend(CommandQueue queue) {}
-
-        @Override
-        public void onMessageUnanswered(Machine machine) {}
-      };
-
   HeartbeatCommandsTest() {
     Settings settings = TestSettings.with();
     FormatGate gate = new FormatGate(settings, runtime);
--- a/src/test/java/org/snowturn/core/dispatch/CommandQueueTest.java
+++ b/src/test/java/org/snowturn/core/dispatch/CommandQueueTest.java
@@ -14,7 +14,6 @@
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.model.Machine;
 import org.snowturn.wire.Command;
-import org.snowturn.wire.Heartbeat;
 import org.snowturn.wire.Json;
 
 /**
@@ -31,20 +30,8 @@
   private final Machine machine = new Machine(0, "i-1", TOKEN);
   private final CommandQueue queue = new CommandQueue(runtime, new Host(), machine);
 
-  private static final class Host implements CommandQueue.Host {
-    @Override
-    public boolean hasAuthority() {
-      return true;
-    }
-
-    @Override
-    public void onHeartbeat(Heartbeat heartbeat) {}
-
-    @Override
-    public boolean canStart(Machine machine, Command start) {
-      return true;
-    }
-
+  /** Counts the starts that have to go in answers as placements that are pending. */
+  private static final class Host extends TestCommandHost {
     @Override
     public void onStartDue(Machine machine) {
       machine.addPendingPlacements(1);
@@ -54,12 +41,6 @@
     public void raiseToken(Machine machine) {
       machine.fence.raiseToken(RAISED_TOKEN);
     }
-
-    @Override
-    public void onReadyToSend(CommandQueue queue) {}
-
-    @Override
-    public void onMessageUnanswered(Machine machine) {}
   }
 
   @BeforeEach
