--- a/src/main/java/org/snowturn/core/assignment/HeartbeatCommands.java
+++ b/src/main/java/org/snowturn/core/assignment/HeartbeatCommands.java
@@ -1,6 +1,5 @@
 package org.snowturn.core.assignment;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.agrona.collections.LongHashSet;
@@ -20,7 +19,8 @@
  * lease. It upholds the safety rule for cancellations (docs/safety.md): an answer that renews the
  * lease carries a stop for every task of a cancelled job on that machine. A task whose start may
  * still be in flight cannot be stopped reliably, since the start may arrive after the stop. The
- * lease is then renewed only while it would still expire in time for the cancellation.
+ * lease is then renewed only while it would still expire in time for the cancellation. The same
+ * holds for a stop for which the answer has no room; it is sent directly.
  */
 public final class HeartbeatCommands {
   /**
@@ -38,6 +38,7 @@
   private final CoreRuntime runtime;
   private long repeatedStarts;
   private long unassignedStops;
+  private long deferredCommands;
 
   /**
    * Creates an instance that answers the heartbeats of a term.
@@ -61,13 +62,14 @@
     return Map.of(
         "snowturn.starts.repeated", (double) repeatedStarts,
         "snowturn.stops.unassigned", (double) unassignedStops,
+        "snowturn.commands.deferred", (double) deferredCommands,
         "snowturn.tokens.raised", (double) fencing.raisedTokens(),
         "snowturn.forgets.deferred", (double) fencing.unfenced());
   }
 
   /** Returns the answer to a heartbeat, after {@link HeartbeatProcessor#apply} has processed it. */
   public Answer respond(Machine machine, Heartbeat heartbeat) {
-    List<Command> commands = new ArrayList<>();
+    AnswerCommands commands = new AnswerCommands();
     boolean newest = isNewest(machine, heartbeat);
     LongHashSet listed = addCommandsForListed(machine, heartbeat, newest, commands);
     boolean renewsLease = true;
@@ -79,7 +81,15 @@
                 machine, heartbeat, job, TaskAssignments.task(reference), newest, commands);
       }
     }
-    return new Answer(commands, renewsLease);
+    AnswerCommands.Composed composed = commands.compose();
+    deferredCommands += composed.deferred();
+    if (!composed.isComplete()) {
+      // None of the stops in an answer without a renewal is executed.
+      commands.allRequiredStops().forEach(machine.commands()::add);
+    } else {
+      composed.missingStops().forEach(machine.commands()::add);
+    }
+    return new Answer(composed.commands(), renewsLease && composed.isComplete());
   }
 
   /**
@@ -101,7 +111,7 @@
    * @return the references of the listed tasks that are assigned to the machine
    */
   private LongHashSet addCommandsForListed(
-      Machine machine, Heartbeat heartbeat, boolean newest, List<Command> commands) {
+      Machine machine, Heartbeat heartbeat, boolean newest, AnswerCommands commands) {
     LongHashSet listed = new LongHashSet();
     for (TaskStatus status : heartbeat.tasks()) {
       Job liveJob = assignments.job(status.job());
@@ -111,17 +121,32 @@
       if (assignedHere) {
         listed.add(Job.taskReference(job.index, status.task()));
       }
-      Command command =
-          newest
-              ? commandFor(machine, heartbeat, status, job, assignedHere)
-              : mustStopEvenIfOutdated(status, liveJob) ? stopCommand(status) : null;
-      if (command != null) {
-        commands.add(command);
+      if (newest) {
+        add(commandFor(machine, heartbeat, status, job, assignedHere), status, liveJob, commands);
+      } else if (mustStop(status, liveJob)) {
+        add(stopCommand(status), status, liveJob, commands);
       }
     }
     return listed;
   }
 
+  /**
+   * Adds the command for a listed task.
+   *
+   * @param command the command; null if there is none
+   * @param job the task's job; null if it is not live
+   */
+  private void add(Command command, TaskStatus status, Job job, AnswerCommands commands) {
+    if (command == null) {
+      return;
+    }
+    if (mustStop(status, job)) {
+      commands.addRequiredStop(command, isStopDeferrable(job));
+    } else {
+      commands.add(command);
+    }
+  }
+
   /** Returns the command for a task that the newest heartbeat lists; null if there is none. */
   private Command commandFor(
       Machine machine, Heartbeat heartbeat, TaskStatus status, Job job, boolean assignedHere) {
@@ -138,8 +163,7 @@
           assignedHere
               ? assignments.stopCommand(job, status.task())
               : stopUnassigned(machine, status);
-      case FORGET ->
-          new Command(Command.Op.FORGET, status.job(), status.task(), status.attempt(), 0);
+      case FORGET -> forgetCommand(status);
       default -> null;
     };
   }
@@ -158,13 +182,14 @@
   }
 
   /**
-   * Returns whether a task must be stopped even if the heartbeat that lists it is not the newest.
-   * The newer heartbeat may have been the reply to a direct message, which is not answered with
-   * commands, while the answer to this one renews the lease.
+   * Returns whether a listed task must be stopped before the lease is renewed, even if the
+   * heartbeat that lists it is not the newest. The newer heartbeat may have been the reply to a
+   * direct message, which is not answered with commands, while the answer to this one renews the
+   * lease.
    *
    * @param job the task's job; null if it is not live
    */
-  private boolean mustStopEvenIfOutdated(TaskStatus status, Job job) {
+  private boolean mustStop(TaskStatus status, Job job) {
     boolean gone = job == null && !assignments.registry().isQuarantined(status.job());
     return status.state() != TaskStatus.State.ENDED
         && (gone
@@ -172,6 +197,18 @@
             || (job != null && job.isCancelled()));
   }
 
+  /**
+   * Returns whether the stop of a cancelled job's task may follow after an answer that renews the
+   * lease.
+   *
+   * @param job the task's job; null if it is not live
+   */
+  private boolean isStopDeferrable(Job job) {
+    return job != null
+        && job.isCancelled()
+        && cancellations.wouldLeaseExpireInTime(job.earliestConfirmationAt());
+  }
+
   /**
    * Releases, stops or restarts an assigned task that the heartbeat does not list.
    *
@@ -183,7 +220,7 @@
       Job job,
       int task,
       boolean newest,
-      List<Command> commands) {
+      AnswerCommands commands) {
     Verdict verdict =
         newest
             ? Reconciliation.decide(cases.caseOfUnlisted(machine, heartbeat, job, task, true))
@@ -195,7 +232,7 @@
     }
     if (job.isCancelled()) {
       // The task may be on the machine: a newer heartbeat may have listed it.
-      commands.add(assignments.stopCommand(job, task));
+      commands.addRequiredStop(assignments.stopCommand(job, task), isStopDeferrable(job));
       // A machine whose lease this answer renews refuses the start from then on.
       return fencing.fence(machine, heartbeat, job.attemptOf(task), task)
           || cancellations.wouldLeaseExpireInTime(job.earliestConfirmationAt());
@@ -210,31 +247,57 @@
    * Sends the start of a task again, and its stop if it is to stop. A start has no effect on a
    * machine that already knows the attempt, so it is repeated until a heartbeat lists the task.
    */
-  private void repeatStart(Machine machine, Job job, int task, List<Command> commands) {
+  private void repeatStart(Machine machine, Job job, int task, AnswerCommands commands) {
     Command start = assignments.startCommand(job, task);
     if (!assignments.canStart(machine, start)) {
       return;
     }
     repeatedStarts++;
-    commands.add(start);
-    if (job.stopping.get(task)) {
-      commands.add(assignments.stopCommand(job, task));
+    commands.addStart(
+        job.stopping.get(task)
+            ? List.of(start, assignments.stopCommand(job, task))
+            : List.of(start));
+  }
+
+  /**
+   * Directly tells a machine to forget ended attempts that its reply to a direct message lists, if
+   * it lists more than fits into a heartbeat: it cannot send one, whose answer would carry them. An
+   * earlier version may have started that many tasks.
+   */
+  public void forgetIfOverfull(Machine machine, Heartbeat reply) {
+    if (machine.heartbeatUsage.freeBytes() >= 0 || !isNewest(machine, reply)) {
+      return;
+    }
+    fencing.raiseToken(machine);
+    for (TaskStatus status : reply.tasks()) {
+      Job liveJob = assignments.job(status.job());
+      Job job = liveJob != null && status.task() < liveJob.taskCount() ? liveJob : null;
+      if (Reconciliation.decide(cases.caseOfListed(machine, reply, status, job))
+          == Verdict.FORGET) {
+        machine.commands().add(forgetCommand(status));
+      }
     }
   }
 
   /**
-   * Returns stops for the heartbeat's tasks of cancelled jobs. It needs no loaded records, so a new
-   * leader that is still loading them uses it for answers that renew leases.
+   * Returns an answer with stops for the heartbeat's tasks of cancelled jobs. It needs no loaded
+   * records, so a new leader that is still loading them uses it.
    */
-  public List<Command> stopCommands(Heartbeat heartbeat) {
-    List<Command> commands = new ArrayList<>();
+  public Answer respondBeforeLoaded(Heartbeat heartbeat) {
+    AnswerCommands commands = new AnswerCommands();
     for (TaskStatus status : heartbeat.tasks()) {
       if (status.state() != TaskStatus.State.ENDED
           && cancellations.isKnownCancelled(status.job())) {
-        commands.add(stopCommand(status));
+        commands.addRequiredStop(stopCommand(status), false);
       }
     }
-    return commands;
+    AnswerCommands.Composed composed = commands.compose();
+    deferredCommands += composed.deferred();
+    return new Answer(composed.commands(), composed.isComplete());
+  }
+
+  private static Command forgetCommand(TaskStatus status) {
+    return new Command(Command.Op.FORGET, status.job(), status.task(), status.attempt(), 0);
   }
 
   private static Command stopCommand(TaskStatus status) {
--- a/src/main/java/org/snowturn/core/assignment/HeartbeatProcessor.java
+++ b/src/main/java/org/snowturn/core/assignment/HeartbeatProcessor.java
@@ -165,6 +165,7 @@
     if (carriesToken && machine.adoptedTasks() > 0) {
       releaseUnlisted(machine, heartbeat, listed);
     }
+    recordHeartbeatUsage(machine, heartbeat);
     if (isFirstNotice) {
       reportedTasks.drain(machine);
     }
@@ -187,6 +188,7 @@
     machine.session.setLastAnswerAt(Math.max(machine.session.lastAnswerAt(), runtime.now()));
     machine.session.clearAcknowledgement();
     machine.fence.onNewAgentEpoch();
+    machine.heartbeatUsage.onNewAgentEpoch();
     machine.commands().discardUnsent();
     if (hasExpiredAsIntended(machine)) {
       machine.reachability.onIntendedAgentEpoch();
@@ -281,6 +283,20 @@
     return listed;
   }
 
+  /** Records how much of the maximum size of a heartbeat the machine's tasks use. */
+  private void recordHeartbeatUsage(Machine machine, Heartbeat heartbeat) {
+    machine.heartbeatUsage.recordLayout(heartbeat.layoutBytes());
+    machine.heartbeatUsage.beginFormer();
+    for (TaskStatus status : heartbeat.tasks()) {
+      Job job = assignments.job(status.job());
+      if (job == null
+          || status.task() >= job.taskCount()
+          || !ReconciliationCases.isAssignedHere(machine, job, status)) {
+        machine.heartbeatUsage.addFormer(status);
+      }
+    }
+  }
+
   /** Releases the tasks that were placed before this agent epoch. */
   private void releaseEarlierEpochs(Machine machine, long epoch) {
     for (long reference : copy(machine.assigned)) {
--- a/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
+++ b/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
@@ -392,10 +392,11 @@
     Machine machine = machines.get(job.machineOf(task));
     // A start that is still queued would begin an attempt that the machine was told to forget.
     machine.commands().withdraw(startCommand(job, task));
-    if (job.stateOf(task) == TaskState.PLACING) {
+    boolean wasPlacing = job.stateOf(task) == TaskState.PLACING;
+    if (wasPlacing) {
       machine.addPendingPlacements(-1);
     }
-    machine.unassign(Job.taskReference(job.index, task), job.priority(), job.spec);
+    machine.unassign(Job.taskReference(job.index, task), job.priority(), job.spec, !wasPlacing);
     if (machine.assigned.isEmpty()) {
       machine.setIdleSince(runtime.now());
     }
--- a/src/main/java/org/snowturn/core/autoscaling/Autoscaler.java
+++ b/src/main/java/org/snowturn/core/autoscaling/Autoscaler.java
@@ -14,6 +14,7 @@
   private final CloudCallBudget budget;
   private final MachineInventory inventory;
   private final MachineTermination termination;
+  private final UsableCpus usableCpus;
   private final ProvisionedCapacity capacity;
   private final MachineRentals rentals;
   private final ScaleOut scaleOut;
@@ -38,7 +39,8 @@
     budget = new CloudCallBudget(cluster.runtime(), cluster.settings().cloudLimits().maxRps());
     CapacityRefusals refusals =
         new CapacityRefusals(cluster.runtime(), machineTypes, cluster.machines());
-    OpenScaleOutRequests openRequests = new OpenScaleOutRequests(machineTypes);
+    usableCpus = new UsableCpus(machineTypes, cluster.assignments());
+    OpenScaleOutRequests openRequests = new OpenScaleOutRequests(machineTypes, usableCpus);
     capacity =
         new ProvisionedCapacity(
             cluster.runtime(),
@@ -46,11 +48,19 @@
             openRequests,
             zoneOutages,
             externallyManaged,
-            spotPreemptions);
-    CapacityDemand demand = new CapacityDemand(cluster, scalingPolicy, capacity, refusals);
+            spotPreemptions,
+            usableCpus);
+    CapacityDemand demand =
+        new CapacityDemand(cluster, scalingPolicy, capacity, refusals, usableCpus);
     PoolSelector poolSelector =
         new PoolSelector(
-            machineTypes, cluster.machines(), capacity, openRequests, refusals, zoneOutages);
+            machineTypes,
+            cluster.machines(),
+            capacity,
+            openRequests,
+            refusals,
+            zoneOutages,
+            usableCpus);
     inventory = new MachineInventory(cluster, budget, refusals);
     termination = new MachineTermination(cluster, budget, refusals, spotPreemptions);
     rentals = new MachineRentals(cluster, openRequests, refusals, budget, token);
@@ -65,6 +75,7 @@
     termination.deleteMarked();
     inventory.refreshIfDue();
     if (machineTypes.isLoaded() && inventory.isLoaded() && !rentals.isPaused()) {
+      usableCpus.recount();
       capacity.recount();
       scaleOut.run();
       scaleIn.run();
--- a/src/main/java/org/snowturn/core/autoscaling/CapacityDemand.java
+++ b/src/main/java/org/snowturn/core/autoscaling/CapacityDemand.java
@@ -3,9 +3,6 @@
 import org.snowturn.core.assignment.TaskAssignments;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.model.Job;
-import org.snowturn.core.model.MachineTypes;
-import org.snowturn.wire.JobSpec;
-import org.snowturn.wire.MachineType;
 
 /** The number of CPUs that the fleet should have for the unfinished work, including headroom. */
 final class CapacityDemand {
@@ -25,11 +22,11 @@
   private static final double PEAK_SHARE = 0.6;
 
   private final CoreRuntime runtime;
-  private final MachineTypes machineTypes;
   private final TaskAssignments assignments;
   private final ScalingPolicy scalingPolicy;
   private final ProvisionedCapacity capacity;
   private final CapacityRefusals refusals;
+  private final UsableCpus usableCpus;
   private double peakArrayCpus;
   private long peakRecordedAt;
 
@@ -37,13 +34,14 @@
       ClusterContext cluster,
       ScalingPolicy scalingPolicy,
       ProvisionedCapacity capacity,
-      CapacityRefusals refusals) {
+      CapacityRefusals refusals,
+      UsableCpus usableCpus) {
     this.runtime = cluster.runtime();
-    this.machineTypes = cluster.machineTypes();
     this.assignments = cluster.assignments();
     this.scalingPolicy = scalingPolicy;
     this.capacity = capacity;
     this.refusals = refusals;
+    this.usableCpus = usableCpus;
   }
 
   /**
@@ -66,34 +64,17 @@
     return required + headroom + spilloverCpus(overprovisioning);
   }
 
-  /**
-   * Returns the number of CPUs that the unfinished tasks need. A task's memory is converted to CPUs
-   * by the highest ratio of memory to CPUs of all machine types.
-   */
+  /** Returns the number of CPUs that the unfinished tasks need. */
   private double requiredCpus(boolean spot) {
-    double gbPerCpu = 0;
-    for (MachineType type : machineTypes.all()) {
-      gbPerCpu = Math.max(gbPerCpu, type.memoryGb() / Math.max(1, type.cpus()));
-    }
     double cpus = 0;
     for (Job job : assignments.jobs()) {
-      if (!job.isCancelled() && !job.awaitsDependencies() && job.spec.canUseSpot() == spot) {
-        JobSpec spec = job.spec;
-        double cpusPerTask = Math.max(spec.cpus(), gbPerCpu > 0 ? spec.memoryGb() / gbPerCpu : 0);
-        cpus += cpusPerTask * requiredTasks(job);
+      if (UsableCpus.needsCapacity(job, spot)) {
+        cpus += usableCpus.cpusPerTask(job.spec) * UsableCpus.requiredTasks(job);
       }
     }
     return cpus;
   }
 
-  /**
-   * Returns the number of tasks for which the job needs capacity. A suspect job, which fails on
-   * every machine, needs its assigned tasks and one trial.
-   */
-  private static int requiredTasks(Job job) {
-    return job.failures.isSuspect() ? job.assigned() + 1 : job.taskCount() - job.done();
-  }
-
   private double largestReplicaCpus() {
     double cpus = 0;
     for (Job job : assignments.jobs()) {
--- a/src/main/java/org/snowturn/core/autoscaling/OpenScaleOutRequests.java
+++ b/src/main/java/org/snowturn/core/autoscaling/OpenScaleOutRequests.java
@@ -10,10 +10,12 @@
   private static final int MAX_OPEN = 6;
 
   private final MachineTypes machineTypes;
+  private final UsableCpus usableCpus;
   private final List<ScaleOutRequest> requests = new ArrayList<>();
 
-  OpenScaleOutRequests(MachineTypes machineTypes) {
+  OpenScaleOutRequests(MachineTypes machineTypes, UsableCpus usableCpus) {
     this.machineTypes = machineTypes;
+    this.usableCpus = usableCpus;
   }
 
   void add(ScaleOutRequest request) {
@@ -46,14 +48,15 @@
   }
 
   /**
-   * Returns {@code cpus} plus the CPUs of all requested spot or all requested on-demand machines.
+   * Returns {@code cpus} plus the usable CPUs of all requested spot or all requested on-demand
+   * machines.
    */
   double addRequestedCpus(double cpus, boolean spot) {
     double total = cpus;
     for (ScaleOutRequest request : requests) {
       MachineType type = machineTypes.get(request.pool().type());
       if (request.pool().spot() == spot && type != null) {
-        total += request.count() * type.cpus();
+        total += request.count() * usableCpus.ofNew(type, spot);
       }
     }
     return total;
--- a/src/main/java/org/snowturn/core/autoscaling/PoolSelector.java
+++ b/src/main/java/org/snowturn/core/autoscaling/PoolSelector.java
@@ -20,6 +20,7 @@
   private final OpenScaleOutRequests openRequests;
   private final CapacityRefusals refusals;
   private final ZoneOutages zoneOutages;
+  private final UsableCpus usableCpus;
 
   PoolSelector(
       MachineTypes machineTypes,
@@ -27,13 +28,15 @@
       ProvisionedCapacity capacity,
       OpenScaleOutRequests openRequests,
       CapacityRefusals refusals,
-      ZoneOutages zoneOutages) {
+      ZoneOutages zoneOutages,
+      UsableCpus usableCpus) {
     this.machineTypes = machineTypes;
     this.machines = machines;
     this.capacity = capacity;
     this.openRequests = openRequests;
     this.refusals = refusals;
     this.zoneOutages = zoneOutages;
+    this.usableCpus = usableCpus;
   }
 
   /**
@@ -76,7 +79,7 @@
    */
   private double cost(CapacityPool pool, MachineType type, double missingCpus) {
     double price = pool.spot() ? type.hourlySpotPrice() : type.hourlyPrice();
-    double usedCpus = Math.min(missingCpus, type.cpus());
+    double usedCpus = Math.min(missingCpus, usableCpus.ofNew(type, pool.spot()));
     return price
         / Math.max(1, usedCpus)
         * (1 + ZONE_BALANCE_WEIGHT * capacity.cpusInMarketOf(pool));
@@ -91,7 +94,8 @@
       return 1;
     }
     MachineType type = machineTypes.get(pool.type());
-    double count = Math.ceil(missingCpus / Math.max(1, type.cpus()) / type.zones().size());
+    double cpus = usableCpus.ofNew(type, pool.spot());
+    double count = Math.ceil(missingCpus / Math.max(1, cpus) / type.zones().size());
     return (int) Math.max(1, Math.min(MAX_MACHINES_PER_REQUEST, count));
   }
 }
--- a/src/main/java/org/snowturn/core/autoscaling/ProvisionedCapacity.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ProvisionedCapacity.java
@@ -9,7 +9,10 @@
 import org.snowturn.core.model.MachineIndex;
 import org.snowturn.core.model.PreemptionRate;
 
-/** The CPUs of the machines that are up, booting or requested, recounted on each tick. */
+/**
+ * The CPUs of the machines that are up, booting or requested, as far as work can use them,
+ * recounted on each tick.
+ */
 final class ProvisionedCapacity {
   /** All spot or all on-demand machines of a zone. */
   private record Market(int zone, boolean spot) {}
@@ -20,6 +23,7 @@
   private final ZoneOutages zoneOutages;
   private final ExternallyManagedMachines externallyManaged;
   private final PreemptionRate spotPreemptions;
+  private final UsableCpus usableCpus;
   private final Map<Market, Double> cpusByMarket = new HashMap<>();
   private final int[] machinesInZone;
   private double onDemandCpus;
@@ -32,13 +36,15 @@
       OpenScaleOutRequests openRequests,
       ZoneOutages zoneOutages,
       ExternallyManagedMachines externallyManaged,
-      PreemptionRate spotPreemptions) {
+      PreemptionRate spotPreemptions,
+      UsableCpus usableCpus) {
     this.runtime = runtime;
     this.machines = machines;
     this.openRequests = openRequests;
     this.zoneOutages = zoneOutages;
     this.externallyManaged = externallyManaged;
     this.spotPreemptions = spotPreemptions;
+    this.usableCpus = usableCpus;
     this.machinesInZone = new int[machines.zoneCount()];
     this.lastCountedAt = runtime.now();
   }
@@ -98,7 +104,7 @@
   }
 
   private void adjust(Machine machine, int sign) {
-    double cpus = sign * machine.machineType().cpus();
+    double cpus = sign * usableCpus.of(machine);
     if (machine.isSpot()) {
       spotCpus += cpus;
     } else {
@@ -107,6 +113,11 @@
     cpusByMarket.merge(new Market(machine.zone(), machine.isSpot()), cpus, Double::sum);
   }
 
+  /** Returns the usable CPUs of a counted machine. */
+  double cpusOf(Machine machine) {
+    return usableCpus.of(machine);
+  }
+
   /** Returns the CPUs of all spot or all on-demand machines, including requested ones. */
   double cpus(boolean spot) {
     return openRequests.addRequestedCpus(spot ? spotCpus : onDemandCpus, spot);
--- a/src/main/java/org/snowturn/core/autoscaling/ScaleIn.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ScaleIn.java
@@ -156,7 +156,7 @@
   }
 
   private boolean isSurplus(Machine machine, double targetCpus) {
-    return capacity.cpus(machine.isSpot()) - machine.machineType().cpus() >= targetCpus;
+    return capacity.cpus(machine.isSpot()) - capacity.cpusOf(machine) >= targetCpus;
   }
 
   private boolean isAnyArrayWaiting() {
--- a/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
+++ b/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
@@ -2,9 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.snowturn.core.Effect;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.effects.CoreRuntime;
@@ -13,6 +16,7 @@
 import org.snowturn.core.model.CommandChannel;
 import org.snowturn.core.model.Machine;
 import org.snowturn.wire.Command;
+import org.snowturn.wire.CommandBatch;
 import org.snowturn.wire.Heartbeat;
 import org.snowturn.wire.MalformedException;
 
@@ -66,6 +70,10 @@
   private final Host host;
   private final Machine machine;
   private final Map<String, Command> queue = new LinkedHashMap<>();
+
+  /** Keys of queued starts that had no room in the message that is in flight. */
+  private final Set<String> postponedStarts = new HashSet<>();
+
   private boolean isBusy;
   private boolean isProbeRequested;
   private boolean isFlushRequested;
@@ -91,6 +99,9 @@
       host.onStartDue(machine);
       return;
     }
+    if (command.op() == Command.Op.STOP) {
+      queue.remove(key(Command.Op.START, command)); // a stop leaves before all starts
+    }
     queue.put(key(command), command);
     requestFlush();
   }
@@ -103,7 +114,11 @@
   }
 
   private static String key(Command command) {
-    return command.op() + command.job() + "/" + command.task() + "#" + command.attempt();
+    return key(command.op(), command);
+  }
+
+  private static String key(Command.Op op, Command command) {
+    return op + command.job() + "/" + command.task() + "#" + command.attempt();
   }
 
   /** Registers the queue for the next flush, which visits only queues with something to send. */
@@ -156,10 +171,7 @@
       sendProbe(probedEpoch);
       return;
     }
-    List<Command> commands = new ArrayList<>(queue.values());
-    commands.removeIf(
-        command -> command.op() == Command.Op.START && !host.canStart(machine, command));
-    queue.clear();
+    List<Command> commands = takeCommands();
     if (commands.isEmpty() && !isProbeRequested) {
       return;
     }
@@ -168,6 +180,41 @@
     send(machine.session.likelyEpoch(), commands, recordStarts(commands));
   }
 
+  /**
+   * Removes the commands of the next message from the queue, as many as it has room for. The others
+   * follow once it is answered. Starts come last, so that each finds the room that the stops before
+   * it have made.
+   */
+  private List<Command> takeCommands() {
+    queue
+        .values()
+        .removeIf(command -> command.op() == Command.Op.START && !host.canStart(machine, command));
+    CommandBatch batch = new CommandBatch();
+    takeCommands(batch, false);
+    takeCommands(batch, true);
+    postponedStarts.clear();
+    for (Command command : queue.values()) {
+      if (command.op() == Command.Op.START) {
+        postponedStarts.add(key(command));
+      }
+    }
+    return batch.commands();
+  }
+
+  /** Moves queued commands to the message, either the starts or the others, until it is full. */
+  private void takeCommands(CommandBatch batch, boolean starts) {
+    Iterator<Command> iterator = queue.values().iterator();
+    while (iterator.hasNext()) {
+      Command command = iterator.next();
+      if ((command.op() == Command.Op.START) == starts) {
+        if (!batch.add(command)) {
+          return;
+        }
+        iterator.remove();
+      }
+    }
+  }
+
   private void sendProbe(long agentEpoch) {
     probedEpoch = 0;
     isProbeRequested = false;
@@ -221,14 +268,19 @@
       int status,
       JsonNode body) {
     isBusy = false;
+    boolean hasHeartbeat =
+        outcome == Outcome.ANSWERED && (status == STATUS_OK || status == STATUS_CONFLICT);
+    if (!hasHeartbeat) {
+      // They follow only an answered message. The answers to heartbeats carry them instead.
+      queue.keySet().removeAll(postponedStarts);
+    }
+    postponedStarts.clear();
     resume();
     if (outcome == Outcome.REFUSED) {
       // The message never left. Starts in earlier messages may still arrive.
       firstStarts.forEach(
           start -> machine.fence.withdrawDirectStart(start.attempt(), start.task()));
     }
-    boolean hasHeartbeat =
-        outcome == Outcome.ANSWERED && (status == STATUS_OK || status == STATUS_CONFLICT);
     if (hasHeartbeat && handleHeartbeat(agentEpoch, status, body)) {
       return;
     }
--- a/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
+++ b/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
@@ -82,8 +82,7 @@
       refuse(exchange, heartbeat, "session_over");
     } else if (!recovery.isLoaded()) {
       recovery.keepEarlyHeartbeat(machine, heartbeat);
-      machine.session.setLastAnswerAt(runtime.now());
-      answer(exchange, machine, heartbeat, heartbeatCommands.stopCommands(heartbeat));
+      answerBeforeLoaded(exchange, machine, heartbeat);
     } else if (reachability.isStale(machine, heartbeat)) {
       refuse(exchange, heartbeat, "late_copy");
     } else {
@@ -91,6 +90,16 @@
     }
   }
 
+  private void answerBeforeLoaded(long exchange, Machine machine, Heartbeat heartbeat) {
+    HeartbeatCommands.Answer answer = heartbeatCommands.respondBeforeLoaded(heartbeat);
+    if (!answer.renewsLease()) {
+      refuse(exchange, heartbeat, "stops_without_room");
+      return;
+    }
+    machine.session.setLastAnswerAt(runtime.now());
+    answer(exchange, machine, heartbeat, answer.commands());
+  }
+
   private void applyAndAnswer(long exchange, Machine machine, Heartbeat heartbeat) {
     reachability.onHeartbeatReceived();
     apply(machine, heartbeat);
@@ -179,7 +188,7 @@
           .info(LogEvent.MACHINE_LEASE_NOT_RENEWED)
           .with(LogField.MACHINE, machine.id)
           .write();
-      refuse(exchange, heartbeat, "start_in_doubt_of_cancelled_job");
+      refuse(exchange, heartbeat, "cancelled_task_not_stopped");
       return;
     }
     services.heartbeatProcessor().onLeaseRenewed(machine);
@@ -220,6 +229,7 @@
     }
     reachability.onMessageAnswered(machine, heartbeat);
     apply(machine, heartbeat);
+    heartbeatCommands.forgetIfOverfull(machine, heartbeat);
     if (!machine.reachability.isProven()) {
       machine.reachability.markProven();
       services.assignments().markChanged();
--- a/src/main/java/org/snowturn/core/leader/LeaderGauges.java
+++ b/src/main/java/org/snowturn/core/leader/LeaderGauges.java
@@ -43,6 +43,12 @@
     gauges.put("snowturn.tasks.waiting", (double) tasks.waiting());
     gauges.put("snowturn.tasks.assigned", (double) tasks.assigned());
     gauges.put("snowturn.machines", (double) services.machines().present().size());
+    gauges.put(
+        "snowturn.machines.full.report",
+        (double)
+            services.machines().present().stream()
+                .filter(machine -> machine.heartbeatUsage.isFull())
+                .count());
     gauges.putAll(healthSweep.gauges());
     gauges.putAll(reachability.gauges());
     gauges.putAll(services.failureHandler().gauges());
--- a/src/main/java/org/snowturn/core/model/Machine.java
+++ b/src/main/java/org/snowturn/core/model/Machine.java
@@ -24,6 +24,10 @@
   private int zone;
   private boolean spot;
   private final ResourceUsage resources = new ResourceUsage();
+
+  /** The part of a heartbeat's maximum size that the machine's tasks use. */
+  public final HeartbeatUsage heartbeatUsage = new HeartbeatUsage();
+
   private Registration registration = Registration.NONE;
   private Presence presence = Presence.PRESENT;
   private IntendedUse intendedUse = IntendedUse.IN_USE;
@@ -96,12 +100,12 @@
 
   /** Returns whether one more task of the job fits beside the assigned ones. */
   public boolean hasCapacityFor(JobSpec spec) {
-    return resources.hasCapacityFor(spec);
+    return resources.hasCapacityFor(spec) && heartbeatUsage.hasRoomFor(spec);
   }
 
   /** Returns the maximum number of further tasks of the job that fit beside the assigned ones. */
   public int maxTasksThatFit(JobSpec spec) {
-    return resources.maxTasksThatFit(spec);
+    return Math.min(resources.maxTasksThatFit(spec), heartbeatUsage.maxTasksThatFit(spec));
   }
 
   /** Returns the number of CPUs that no assigned task uses; 0 while the type is unknown. */
@@ -135,6 +139,7 @@
     assigned.add(reference);
     assignedByPriority.add(priority, 1);
     resources.add(spec, 1);
+    heartbeatUsage.assign(spec);
   }
 
   /**
@@ -143,11 +148,13 @@
    * @param reference the task, by {@link Job#taskReference}
    * @param priority the priority of the job
    * @param spec the specification of the job
+   * @param maybeListed whether the machine may list the task in its heartbeats from now on
    */
-  public void unassign(long reference, Priority priority, JobSpec spec) {
+  public void unassign(long reference, Priority priority, JobSpec spec, boolean maybeListed) {
     assigned.remove(reference);
     assignedByPriority.add(priority, -1);
     resources.add(spec, -1);
+    heartbeatUsage.unassign(spec, maybeListed);
     if (assigned.isEmpty()) {
       resources.clear();
     }
--- a/src/main/java/org/snowturn/core/scheduling/PlacementConstraints.java
+++ b/src/main/java/org/snowturn/core/scheduling/PlacementConstraints.java
@@ -5,6 +5,7 @@
 import org.snowturn.core.model.Machine;
 import org.snowturn.core.model.MachineIndex;
 import org.snowturn.wire.JobSpec;
+import org.snowturn.wire.ListedTaskSize;
 
 /**
  * Rules for the machines on which tasks of a job may run. Constraints are checked against every
@@ -107,6 +108,7 @@
     return spec.cpus() >= other.cpus()
         && spec.memoryGb() >= other.memoryGb()
         && spec.gpus() >= other.gpus()
+        && ListedTaskSize.maxBytes(spec) >= ListedTaskSize.maxBytes(other)
         && (other.canUseSpot() || !spec.canUseSpot());
   }
 }
--- a/src/main/java/org/snowturn/core/scheduling/Preemptor.java
+++ b/src/main/java/org/snowturn/core/scheduling/Preemptor.java
@@ -106,7 +106,9 @@
     }
     List<Machine> withImage = new ArrayList<>();
     for (Machine machine : usableMachines) {
-      if (machine.images.containsKey(job.spec.image()) && constraints.isAllowed(job, machine)) {
+      if (machine.images.containsKey(job.spec.image())
+          && machine.heartbeatUsage.hasRoomFor(job.spec)
+          && constraints.isAllowed(job, machine)) {
         withImage.add(machine);
       }
     }
@@ -221,7 +223,10 @@
             : machinesWithLowerPriority(job.priority(), usableMachines);
     for (Machine machine : machines) {
       evaluations.increment();
-      if (runtime.now() >= machine.preemptingUntil() && constraints.isAllowed(job, machine)) {
+      // A preempted task stays in the machine's heartbeat for a while, so its entry is not freed.
+      if (runtime.now() >= machine.preemptingUntil()
+          && machine.heartbeatUsage.hasRoomFor(job.spec)
+          && constraints.isAllowed(job, machine)) {
         List<Long> victims = victims(job, machine);
         if (victims != null) {
           double optionScore = score.score(job, machine) + VICTIM_PENALTY_S * victims.size();
--- a/src/main/java/org/snowturn/daemon/Daemon.java
+++ b/src/main/java/org/snowturn/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import org.snowturn.net.HttpCaller;
 import org.snowturn.peer.PeerLinks;
 import org.snowturn.state.StateClient;
+import org.snowturn.wire.MessageSize;
 import org.snowturn.worker.WorkerClient;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -188,7 +189,7 @@
         .addHttpListener(
             settings.listenAddress().getPort(),
             settings.listenAddress().getAddress().getHostAddress())
-        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 4L * HttpApi.MAX_BODY_BYTES)
+        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 4L * MessageSize.MAX_BYTES)
         .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
         .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MS)
         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MS)
--- a/src/main/java/org/snowturn/http/HttpApi.java
+++ b/src/main/java/org/snowturn/http/HttpApi.java
@@ -25,6 +25,7 @@
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MalformedException;
+import org.snowturn.wire.MessageSize;
 
 /**
  * HTTP API for users, workers, the load balancer and operators. It parses requests, passes them to
@@ -34,9 +35,6 @@
  * the core on that thread.
  */
 public final class HttpApi implements HttpHandler {
-  /** Size of the largest accepted request body. */
-  public static final int MAX_BODY_BYTES = 64 * 1024;
-
   private static final Logger LOG = LoggerFactory.getLogger(HttpApi.class);
   private static final String RUNS = "/v2/runs";
   private static final String CANCEL_SUFFIX = "/cancel";
@@ -58,7 +56,7 @@
   private record PendingRequest(HttpServerExchange exchange, String kind, long sinceNanos) {}
 
   private interface BodyHandler {
-    void handle(JsonNode body) throws MalformedException;
+    void handle(JsonNode body, int bytes) throws MalformedException;
   }
 
   /**
@@ -91,17 +89,17 @@
       if (checkMethod(exchange, Methods.POST)) {
         parseBody(
             exchange,
-            json ->
+            (json, bytes) ->
                 passToCore(
                     exchange,
                     "checkin",
-                    new Input.HeartbeatReceived(nextExchangeId, Heartbeat.parse(json))));
+                    new Input.HeartbeatReceived(nextExchangeId, Heartbeat.parse(json, bytes))));
       }
     } else if (path.equals(RUNS)) {
       if (checkMethod(exchange, Methods.POST)) {
         parseBody(
             exchange,
-            json ->
+            (json, bytes) ->
                 passToCore(
                     exchange, "submit", new Input.Submit(nextExchangeId, JobSpec.parse(json))));
       }
@@ -169,7 +167,7 @@
         exchange,
         bytes -> {
           try {
-            bodyHandler.handle(Json.parse(bytes));
+            bodyHandler.handle(Json.parse(bytes), bytes.length);
           } catch (IOException e) {
             rejectMalformed(exchange, "not JSON");
           } catch (MalformedException e) {
@@ -179,13 +177,13 @@
   }
 
   private void readBody(HttpServerExchange exchange, Consumer<byte[]> onBody) {
-    if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
+    if (exchange.getRequestContentLength() > MessageSize.MAX_BYTES) {
       exchange.setPersistent(false);
       respond(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, null);
       return;
     }
     Receiver receiver = exchange.getRequestReceiver();
-    receiver.setMaxBufferSize(MAX_BODY_BYTES);
+    receiver.setMaxBufferSize(MessageSize.MAX_BYTES);
     receiver.receiveFullBytes(
         (received, bytes) -> onBody.accept(bytes),
         (failed, error) -> {
--- a/src/main/java/org/snowturn/wire/Command.java
+++ b/src/main/java/org/snowturn/wire/Command.java
@@ -41,17 +41,21 @@
     ObjectNode object = Json.object();
     object.put("baton", token);
     ArrayNode array = object.putArray("orders");
-    for (Command command : commands) {
-      ObjectNode node = array.addObject();
-      node.put("verb", command.op.wireName);
-      node.put("flake", command.job + "/" + command.task).put("try", command.attempt);
-      if (command.op == Op.STOP) {
-        node.put("melt_s", command.graceS);
-      }
-    }
+    commands.forEach(command -> array.add(command.toJson()));
     return object;
   }
 
+  /** Returns the command as a message lists it. */
+  ObjectNode toJson() {
+    ObjectNode node = Json.object();
+    node.put("verb", op.wireName);
+    node.put("flake", job + "/" + task).put("try", attempt);
+    if (op == Op.STOP) {
+      node.put("melt_s", graceS);
+    }
+    return node;
+  }
+
   /**
    * Returns the body of a request that sends commands directly to a worker.
    *
--- a/src/main/java/org/snowturn/wire/Heartbeat.java
+++ b/src/main/java/org/snowturn/wire/Heartbeat.java
@@ -16,6 +16,8 @@
  * @param seenToken highest fencing token that the worker has seen
  * @param preemptionNoticeS seconds until the cloud takes the machine back, or NaN without a notice
  * @param tasks status of each task attempt on the machine
+ * @param layoutBytes bytes by which the longest entry of a task would exceed the most compact
+ *     layout, or {@link ListedTaskSize#NOT_MEASURED}
  */
 public record Heartbeat(
     String machine,
@@ -27,15 +29,26 @@
     long sequence,
     long seenToken,
     double preemptionNoticeS,
-    List<TaskStatus> tasks) {
+    List<TaskStatus> tasks,
+    int layoutBytes) {
   private static final double MAX_NOTICE_S = 1e9;
 
   /**
-   * Parses and validates a heartbeat.
+   * Parses and validates a heartbeat of unknown size, such as the reply to a direct message.
    *
    * @throws MalformedException if a required field is missing or a value is invalid
    */
   public static Heartbeat parse(JsonNode node) throws MalformedException {
+    return parse(node, 0);
+  }
+
+  /**
+   * Parses and validates a heartbeat.
+   *
+   * @param bytes the size of the heartbeat as the worker has written it; 0 if unknown
+   * @throws MalformedException if a required field is missing or a value is invalid
+   */
+  public static Heartbeat parse(JsonNode node, int bytes) throws MalformedException {
     Fields fields = new Fields(node);
     List<TaskStatus> tasks = new ArrayList<>();
     for (JsonNode task : fields.node("flakes")) {
@@ -51,6 +64,7 @@
         fields.integer("tally", 0, Long.MAX_VALUE),
         fields.integer("baton", 0, Long.MAX_VALUE, 0),
         fields.number("recall_s", -MAX_NOTICE_S, MAX_NOTICE_S, Double.NaN),
-        tasks);
+        tasks,
+        ListedTaskSize.measureLayout(fields.node("flakes"), bytes));
   }
 }
--- a/src/test/java/org/snowturn/core/dispatch/CommandQueueTest.java
+++ b/src/test/java/org/snowturn/core/dispatch/CommandQueueTest.java
@@ -1,6 +1,7 @@
 package org.snowturn.core.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -15,6 +16,7 @@
 import org.snowturn.core.model.Machine;
 import org.snowturn.wire.Command;
 import org.snowturn.wire.Json;
+import org.snowturn.wire.MessageSize;
 
 /**
  * Guards against a direct start that a machine executes once more after it has come back without
@@ -109,4 +111,55 @@
 
     assertEquals(4, flush().get(0).body().path("thaw").asLong());
   }
+
+  private static Command longCommand(Command.Op op, int task) {
+    return new Command(op, "wk-123456789012345678", task, Long.MAX_VALUE, 0);
+  }
+
+  private void fillBeyondOneMessage() {
+    machine.session.setEpoch(2);
+    for (int task = 0; task < 800; task++) {
+      queue.add(longCommand(Command.Op.START, task));
+      queue.add(longCommand(Command.Op.STOP, 1_000 + task));
+    }
+  }
+
+  private void answer(Effect.Call call, Outcome outcome) {
+    runtime.handleReply(new Input.Reply(call.id(), outcome, 500, null));
+  }
+
+  /** Guards against a message that the machine refuses, and all its commands with it. */
+  @Test
+  void commandsBeyondTheMaximumSizeFollowInFurtherMessages() {
+    fillBeyondOneMessage();
+    Effect.Call first = flush().get(0);
+    assertTrue(Json.bytes(first.body()).length <= MessageSize.MAX_BYTES);
+    int stops = 0;
+    for (JsonNode order : first.body().path("orders")) {
+      stops += order.path("verb").asText().equals("halt") ? 1 : 0;
+    }
+    assertEquals(first.body().path("orders").size(), stops, "stops leave before starts");
+    assertTrue(flush().isEmpty(), "one message at a time");
+
+    int sent = stops;
+    Effect.Call call = first;
+    while (sent < 1_600) {
+      refuse(call, 2);
+      call = flush().get(0);
+      assertTrue(Json.bytes(call.body()).length <= MessageSize.MAX_BYTES);
+      sent += call.body().path("orders").size();
+    }
+    assertEquals(1_600, sent);
+  }
+
+  /** Guards against starts that overtake the stops which make room for them. */
+  @Test
+  void startsWithoutRoomInAnUnansweredMessageAreNotSent() {
+    fillBeyondOneMessage();
+    answer(flush().get(0), Outcome.UNKNOWN);
+    Effect.Call second = flush().get(0);
+    assertTrue(
+        second.body().path("orders").findValuesAsText("verb").stream().allMatch("halt"::equals));
+    assertFalse(machine.fence.canStartArrive(Long.MAX_VALUE, 699), "it was never sent");
+  }
 }
--- a/src/test/java/org/snowturn/core/leader/DeferredAnswersTest.java
+++ b/src/test/java/org/snowturn/core/leader/DeferredAnswersTest.java
@@ -10,6 +10,7 @@
 import org.snowturn.core.TestSettings;
 import org.snowturn.core.model.Machine;
 import org.snowturn.wire.Heartbeat;
+import org.snowturn.wire.ListedTaskSize;
 
 /**
  * Guards against heartbeats that are answered twice, never, or after their workers have given up.
@@ -20,7 +21,18 @@
   private final Machine machine = new Machine(0, "i-1", 7);
 
   private static Heartbeat heartbeat(long sequence) {
-    return new Heartbeat("i-1", "a:1", "t8", "z", true, 1, sequence, 7, Double.NaN, List.of());
+    return new Heartbeat(
+        "i-1",
+        "a:1",
+        "t8",
+        "z",
+        true,
+        1,
+        sequence,
+        7,
+        Double.NaN,
+        List.of(),
+        ListedTaskSize.NOT_MEASURED);
   }
 
   private static List<Long> exchanges(List<DeferredAnswers.Deferred> taken) {
--- a/src/testbench/java/org/snowturn/simulation/InvariantChecker.java
+++ b/src/testbench/java/org/snowturn/simulation/InvariantChecker.java
@@ -23,14 +23,8 @@
   /** Maximum time, after all faults have ended, without an answer about an accepted job. */
   private static final long MAX_UNANSWERED_MS = 75_000;
 
-  /** Maximum time, after all faults have ended, that a job waits although it could start. */
-  private static final long MAX_WAIT_MS = 90_000;
-
   private static final long JOB_CHECK_INTERVAL_MS = 1_000;
 
-  /** Memory of a task that takes as much of a machine as one CPU. */
-  private static final int MEMORY_GB_PER_CPU = 4;
-
   private static final int MAX_DETAILS = 5;
   private static final double CPU_ROUNDING_TOLERANCE = 1e-6;
 
@@ -56,14 +50,12 @@
 
   long startedTasks;
   private final SimulatedCluster cluster;
+  private final WaitingJobCheck waitingJobs;
   private long nextJobCheckAt;
   private SimulatedCluster.Node lastLeader;
   private long lastLeaderInputAt;
   private boolean isCheckingLeaders;
 
-  /** Time since which each job that could start has been waiting, by job. */
-  private final Map<String, Long> waitingSince = new HashMap<>();
-
   final TreeSet<String> violatedRules = new TreeSet<>();
 
   /** Details of the first violations, at most {@link #MAX_DETAILS}. */
@@ -71,6 +63,7 @@
 
   InvariantChecker(SimulatedCluster cluster) {
     this.cluster = cluster;
+    this.waitingJobs = new WaitingJobCheck(cluster);
   }
 
   /** Records the violation of a rule. */
@@ -164,7 +157,7 @@
     }
     nextJobCheckAt = cluster.now + JOB_CHECK_INTERVAL_MS;
     if (cluster.now > cluster.faultsEndMs) {
-      checkWaitingJobs();
+      waitingJobs.check();
     }
     for (SimulatedClients.SubmittedJob submitted : cluster.clients.allJobs()) {
       long answerDueFrom =
@@ -179,98 +172,6 @@
     }
   }
 
-  /**
-   * Reports each job that has waited longer than {@link #MAX_WAIT_MS} although a suitable machine
-   * has room and its team is under its limit. A job waits while none of its tasks is on a machine.
-   * Called only after all faults have ended.
-   */
-  private void checkWaitingJobs() {
-    if (!cluster.seededBugs.contains("unseen_sick")
-        && cluster.workers.values().stream().anyMatch(InvariantChecker::isFailing)) {
-      waitingSince.clear(); // a machine on which every task fails is a fault that has not ended
-      return;
-    }
-    Map<String, Double> cpusByTeam = new HashMap<>();
-    Set<String> placedJobs = new HashSet<>();
-    Map<SimulatedWorker, Integer> takenCpus = new HashMap<>();
-    for (SimulatedWorker worker : cluster.workers.values()) {
-      for (SimulatedTask task : worker.tasks.values()) {
-        if (task.isAlive()) {
-          JobSpec spec = cluster.clients.spec(task.job);
-          placedJobs.add(task.job);
-          cpusByTeam.merge(spec.team(), spec.cpus(), Double::sum);
-          takenCpus.merge(
-              worker,
-              (int) Math.ceil(Math.max(spec.cpus(), spec.memoryGb() / MEMORY_GB_PER_CPU)),
-              Integer::sum);
-        }
-      }
-    }
-    for (SimulatedClients.SubmittedJob submitted : cluster.clients.allJobs()) {
-      boolean isStartable =
-          submitted.accepted
-              && !submitted.cancelRequested
-              && !submitted.alwaysFails
-              && submitted.terminalPhase == null
-              && !placedJobs.contains(submitted.spec.id())
-              && !cluster.clients.areAllTasksDone(submitted)
-              && areDependenciesDone(submitted.spec)
-              && isWithinTeamLimit(submitted.spec, cpusByTeam)
-              && cluster.workers.values().stream()
-                  .anyMatch(worker -> hasRoom(worker, submitted.spec, takenCpus));
-      if (!isStartable) {
-        waitingSince.remove(submitted.spec.id());
-      } else if (cluster.now - waitingSince.computeIfAbsent(submitted.spec.id(), job -> cluster.now)
-          > MAX_WAIT_MS) {
-        reportViolation(
-            "left_waiting",
-            submitted.spec.id() + " since " + waitingSince.get(submitted.spec.id()));
-      }
-    }
-  }
-
-  private static boolean isFailing(SimulatedWorker worker) {
-    return worker.failing && !worker.dead;
-  }
-
-  private boolean areDependenciesDone(JobSpec spec) {
-    for (String id : spec.dependencies()) {
-      JsonNode outcome = cluster.state.storedValue("d/" + id);
-      if (outcome == null || !outcome.path("p").asText().equals("done")) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  private boolean isWithinTeamLimit(JobSpec spec, Map<String, Double> cpusByTeam) {
-    for (Settings.Team team : cluster.settings[0].teams()) {
-      if (team.name().equals(spec.team()) && team.maxCpus() > 0) {
-        return cpusByTeam.getOrDefault(team.name(), 0.0) + spec.cpus() * spec.minConcurrentTasks()
-            <= team.maxCpus();
-      }
-    }
-    return true;
-  }
-
-  /**
-   * Returns whether a job may use a machine and one of its tasks fits there. A task takes the
-   * larger of its CPUs and its memory divided by {@link #MEMORY_GB_PER_CPU}, rounded up.
-   */
-  private static boolean hasRoom(
-      SimulatedWorker worker, JobSpec spec, Map<SimulatedWorker, Integer> takenCpus) {
-    return !worker.dead
-        && !worker.hung
-        && !worker.outboundDropped
-        && Double.isNaN(worker.reclaimNoticeS)
-        && worker.machine.terminatedAt == Long.MAX_VALUE
-        && (spec.canUseSpot() || !worker.machine.spot)
-        && (spec.zone() == null || spec.zone().equals(worker.machine.zone))
-        && takenCpus.getOrDefault(worker, 0) + spec.cpus() <= worker.cluster.parameters.cpus()
-        && takenCpus.getOrDefault(worker, 0) + spec.memoryGb() / MEMORY_GB_PER_CPU
-            <= worker.cluster.parameters.memoryGb() / MEMORY_GB_PER_CPU;
-  }
-
   /**
    * Returns descriptions of the accepted jobs that are not settled after all faults have ended. A
    * job is not settled if no user has seen it in a terminal phase and one of these holds: no
--- a/src/testbench/java/org/snowturn/simulation/RandomJobs.java
+++ b/src/testbench/java/org/snowturn/simulation/RandomJobs.java
@@ -11,6 +11,15 @@
   private static final int MAX_SERVICE_TASKS = 3;
   private static final int MAX_ARRAY_TASKS = 9;
   private static final int MAX_CPUS = 3;
+
+  /** On average one of this number of seeds has arrays of small tasks, which fill reports. */
+  private static final int SMALL_TASK_SEEDS_ONE_IN = 4;
+
+  /** On average one of this number of arrays of such a seed has small tasks. */
+  private static final int SMALL_TASKS_ONE_IN = 8;
+
+  private static final int MIN_SMALL_TASKS = 100;
+  private static final int SMALL_TASKS_SPREAD = 900;
   private static final int IMAGES = 3;
   private static final int MIN_RUN_MS = 2_000;
   private static final int RUN_SPREAD_MS = 12_000;
@@ -19,6 +28,11 @@
 
   private final SimulatedCluster cluster;
   private final Random random;
+
+  /** Draws the arrays of small tasks, so that all else is as it was drawn without them. */
+  private final Random smallTasksRandom;
+
+  private final boolean hasSmallTasks;
   private final List<String> teams;
   private final int minPauseMs;
   private final int pauseSpreadMs;
@@ -35,13 +49,19 @@
   RandomJobs(SimulatedCluster cluster, List<String> teams, int minPauseMs, int pauseSpreadMs) {
     this.cluster = cluster;
     this.random = cluster.random;
+    this.smallTasksRandom = new Random(cluster.seed);
+    this.hasSmallTasks = smallTasksRandom.nextInt(SMALL_TASK_SEEDS_ONE_IN) == 0;
     this.teams = List.copyOf(teams);
     this.minPauseMs = minPauseMs;
     this.pauseSpreadMs = pauseSpreadMs;
   }
 
-  /** Submits jobs until {@code endMs} of simulated time. */
+  /**
+   * Submits jobs until {@code endMs} of simulated time. From now on the layout of each worker's
+   * reports is drawn from the seed.
+   */
   void submitUntil(long endMs) {
+    cluster.drawsReportLayouts = true;
     this.endMs = endMs;
     submitNext();
   }
@@ -84,9 +104,22 @@
     if (service || random.nextInt(4) == 0) {
       options.put("ordinary", "1");
     }
+    if (!service) {
+      makeSmallTasks(options);
+    }
     return options;
   }
 
+  /** Gives some arrays of some seeds many small tasks. */
+  private void makeSmallTasks(Map<String, String> options) {
+    if (hasSmallTasks && smallTasksRandom.nextInt(SMALL_TASKS_ONE_IN) == 0) {
+      options.put("tasks", "" + (MIN_SMALL_TASKS + smallTasksRandom.nextInt(SMALL_TASKS_SPREAD)));
+      options.put("cpus", "0.002");
+      options.put("memory", "0.008");
+      options.remove("spread");
+    }
+  }
+
   private void cancel(String id) {
     if (cluster.clients.job(id).refusalStatus == null) {
       cluster.clients.cancel(id);
--- a/src/testbench/java/org/snowturn/simulation/RemoteEndpoint.java
+++ b/src/testbench/java/org/snowturn/simulation/RemoteEndpoint.java
@@ -65,6 +65,9 @@
   @Override
   void heartbeat(String from, JsonNode report, ResponseHandler handler) {
     cluster.messageLog.logMessage(cluster.now, from, name, "/checkin", report);
+    SimulatedWorker worker = cluster.workers.get(from);
+    byte[] reportBytes =
+        worker == null ? Json.bytes(report) : worker.messages.layout().write(report);
     workerConnections.withConnection(
         from,
         address,
@@ -72,7 +75,7 @@
             caller.call(
                 "POST",
                 "/checkin",
-                Json.bytes(report),
+                reportBytes,
                 HEARTBEAT_TIMEOUT_MS,
                 (outcome, status, body, retryAfterS) -> {
                   JsonNode json = parseOrNull(body);
--- a/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedCluster.java
@@ -157,6 +157,9 @@
   /** Number of replies from the state service that a node relayed to a peer. */
   int relayedCalls;
 
+  /** Whether the layout of each worker's reports is drawn from the seed. */
+  boolean drawsReportLayouts = true;
+
   /** Sizes of the machines, polling behavior of the users, and worker addresses. */
   SimulationParameters parameters = SimulationParameters.SMALL;
 
@@ -187,6 +190,7 @@
     cluster.nodes.clear();
     cluster.endpoints.clear();
     cluster.parameters = parameters;
+    cluster.drawsReportLayouts = false;
     return cluster;
   }
 
@@ -634,7 +638,9 @@
     void heartbeat(String from, JsonNode report, ResponseHandler answer) {
       Heartbeat heartbeat;
       try {
-        heartbeat = Heartbeat.parse(report);
+        SimulatedWorker worker = workers.get(from);
+        heartbeat =
+            Heartbeat.parse(report, worker == null ? 0 : worker.messages.layout().bytes(report));
       } catch (MalformedException e) {
         throw new IllegalStateException(e);
       }
--- a/src/testbench/java/org/snowturn/simulation/SimulatedJobs.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedJobs.java
@@ -49,7 +49,9 @@
     node.put("shape", shape).put("rank", options.getOrDefault("rank", "high"));
     node.put("flakes", Integer.parseInt(options.getOrDefault("tasks", "1")));
     node.put("cores", Double.parseDouble(options.getOrDefault("cpus", "2"))).put("cards", 0.0);
-    node.put("ram_gb", 4.0).put("bundle", options.getOrDefault("image", "img")).put("size_gb", 0.5);
+    node.put("ram_gb", Double.parseDouble(options.getOrDefault("memory", "4")))
+        .put("bundle", options.getOrDefault("image", "img"))
+        .put("size_gb", 0.5);
     node.put("same_place", options.containsKey("one-zone"));
     node.put("spread", options.containsKey("spread"));
     node.put("loaners", !options.containsKey("ordinary")).put("field", options.get("zone"));
--- a/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.snowturn.config.Settings;
@@ -24,6 +25,7 @@
   final SimulatedCloud.RentedMachine machine;
   final String addr;
   final Map<String, SimulatedTask> tasks = new LinkedHashMap<>();
+  final WorkerMessages messages;
   private final Set<String> images = new HashSet<>();
 
   /** Keys of the attempts that have ended here and are no longer listed. */
@@ -61,6 +63,7 @@
     this.cluster = cluster;
     this.machine = machine;
     this.addr = cluster.parameters.addressByMachine().apply(machine.id);
+    this.messages = new WorkerMessages(cluster, machine.id);
   }
 
   private Settings.Workers workerSettings() {
@@ -150,7 +153,8 @@
     if (dead) {
       return;
     }
-    if (hung || outboundDropped) {
+    ObjectNode report = hung || outboundDropped ? null : statusBody();
+    if (report == null || messages.isReportTooLong(report)) {
       reportAfter(BLOCKED_REPORT_RETRY_MS);
       return;
     }
@@ -159,10 +163,8 @@
     shouldReportSoon = false;
     reportSentAt = cluster.now;
     Endpoint endpoint = cluster.endpoints.get(endpointIndex);
-    long sentAt = cluster.now;
     long sessionAtSend = session;
     long thisReport = ++latestReport;
-    ObjectNode report = statusBody();
     cluster.heartbeatsSent++;
     Runnable deliver =
         () ->
@@ -173,7 +175,7 @@
                   if (thisReport == latestReport && !dead && !hung) {
                     latestReport++;
                     isAwaitingAnswer = false;
-                    handleAnswer(status, reply, sentAt, sessionAtSend);
+                    handleAnswer(status, reply, reportSentAt, sessionAtSend);
                   }
                 });
     cluster.after(cluster.heartbeatDelayMs, () -> cluster.send(addr, endpoint.name, deliver));
@@ -198,13 +200,12 @@
 
   private void handleAnswer(int status, JsonNode reply, long sentAt, long sessionAtSend) {
     if (status == 421 && reply != null && reply.has("steward")) {
-      String name = reply.path("steward").asText();
-      for (int i = 0; i < cluster.endpoints.size(); i++) {
-        if (cluster.endpoints.get(i).name.equals(name) && i != endpointIndex) {
-          endpointIndex = i;
-          reportAfter(cluster.random.nextInt(MAX_REDIRECT_DELAY_MS));
-          return;
-        }
+      List<String> names = cluster.endpoints.stream().map(endpoint -> endpoint.name).toList();
+      int index = names.indexOf(reply.path("steward").asText());
+      if (index >= 0 && index != endpointIndex) {
+        endpointIndex = index;
+        reportAfter(cluster.random.nextInt(MAX_REDIRECT_DELAY_MS));
+        return;
       }
     }
     if (status != 200) {
@@ -212,7 +213,7 @@
       return;
     }
     // An answer without a token is dropped; it only keeps the worker at this endpoint.
-    if (reply.has("baton")) {
+    if (reply.has("baton") && !messages.isTooLong(reply)) {
       executeAnswer(reply, sentAt, sessionAtSend);
     }
     long intervalMs = (long) (workerSettings().heartbeatIntervalS() * 1000);
@@ -307,7 +308,7 @@
   private boolean executeMessage(JsonNode body, long sentAt) {
     boolean isStale =
         body.path("baton").asLong() < token && !cluster.seededBugs.contains("any_token");
-    if (isStale || body.path("thaw").asLong() != session) {
+    if (isStale || body.path("thaw").asLong() != session || messages.isTooLong(body)) {
       return false;
     }
     updateToken(body.path("baton").asLong());
