--- a/src/main/java/org/snowturn/core/api/ChunkedSubmission.java
+++ b/src/main/java/org/snowturn/core/api/ChunkedSubmission.java
@@ -15,6 +15,7 @@
 import org.snowturn.wire.StateMessage;
 import org.snowturn.wire.StateMessage.Change;
 import org.snowturn.wire.StateMessage.Condition;
+import org.snowturn.wire.TransactionChanges;
 
 /**
  * Writes the chunks of a submission that is too long for a single value, starting with the first
@@ -105,16 +106,15 @@
 
   private void writeNext() {
     Condition firstChunkUnchanged = new Condition(keyPrefix + 0, firstChunkVersion);
-    BitSet written = nextChunks();
-    services.admission().charge(written.cardinality(), runtime.now());
-    if (written.isEmpty()) {
+    List<Condition> conditions = new ArrayList<>(JobSubmission.newJobConditions(spec.id()));
+    conditions.add(firstChunkUnchanged);
+    BitSet written = new BitSet();
+    List<Change> changes = nextChanges(conditions, written);
+    services.admission().charge(changes.size(), runtime.now());
+    if (changes.isEmpty()) {
       listener.onStored(job.liveJson(), firstChunkUnchanged);
       return;
     }
-    List<Condition> conditions = new ArrayList<>(JobSubmission.newJobConditions(spec.id()));
-    conditions.add(firstChunkUnchanged);
-    List<Change> changes = new ArrayList<>();
-    written.stream().forEach(i -> changes.add(Change.put(keyPrefix + i, chunks.get(i))));
     services
         .relay()
         .callState(
@@ -139,16 +139,22 @@
             });
   }
 
-  /** Returns the chunks to write next: the first alone, then as many as a transaction can hold. */
-  private BitSet nextChunks() {
+  /**
+   * Returns the changes that write the next chunks: the first alone, then as many as a transaction
+   * can hold, by their number and by its size.
+   *
+   * @param conditions the conditions of the transaction
+   * @param written receives the indexes of the chunks
+   */
+  private List<Change> nextChanges(List<Condition> conditions, BitSet written) {
     int maxChunks = storedChunks.get(0) ? services.formatGate().limits().maxTransactionOps() : 1;
-    BitSet next = new BitSet();
+    TransactionChanges changes = new TransactionChanges(conditions, maxChunks);
     int index = storedChunks.nextClearBit(0);
-    for (int count = 0; index < chunks.size() && count < maxChunks; count++) {
-      next.set(index);
+    while (index < chunks.size() && changes.add(Change.put(keyPrefix + index, chunks.get(index)))) {
+      written.set(index);
       index = storedChunks.nextClearBit(index + 1);
     }
-    return next;
+    return changes.list();
   }
 
   private void logMalformed(String request, MalformedException cause) {
--- a/src/main/java/org/snowturn/core/api/JobSubmission.java
+++ b/src/main/java/org/snowturn/core/api/JobSubmission.java
@@ -18,6 +18,7 @@
 import org.snowturn.wire.StateMessage;
 import org.snowturn.wire.StateMessage.Change;
 import org.snowturn.wire.StateMessage.Condition;
+import org.snowturn.wire.TransactionChanges;
 
 /**
  * Accepts jobs, each by a transaction that writes its live record if the job has no record yet.
@@ -148,7 +149,9 @@
 
   private void admitAndWrite(long exchange, JobSpec spec) {
     JobRecord job = new JobRecord(JobStatus.Phase.QUEUED, runtime.wallMs(), spec);
-    int maxBytes = services.formatGate().limits().maxValueBytes();
+    int maxBytes =
+        Math.min(
+            services.formatGate().limits().maxValueBytes(), TransactionChanges.MAX_VALUE_BYTES);
     ObjectNode record = job.liveJson();
     if (!services.formatGate().isOpen() || Json.bytes(record).length <= maxBytes) {
       if (admit(exchange, spec, record)) {
--- a/src/main/java/org/snowturn/wire/StateMessage.java
+++ b/src/main/java/org/snowturn/wire/StateMessage.java
@@ -97,20 +97,23 @@
       conditionNodes.addObject().put(KEY, condition.key).put(VERSION, condition.version);
     }
     ArrayNode changeNodes = object.putArray("apply");
-    for (Change change : changes) {
-      ObjectNode node = changeNodes.addObject();
-      if (change.value == null) {
-        node.put(DELETED_KEY, change.key);
-      } else {
-        node.put(WRITTEN_KEY, change.key).set(VALUE, change.value);
-        if (change.lease != 0) {
-          node.put(LEASE, change.lease);
-        }
-      }
-    }
+    changes.forEach(change -> changeNodes.add(changeNode(change)));
     return object;
   }
 
+  /** Returns a change as a transaction lists it. */
+  static ObjectNode changeNode(Change change) {
+    ObjectNode node = Json.object();
+    if (change.value == null) {
+      return node.put(DELETED_KEY, change.key);
+    }
+    node.put(WRITTEN_KEY, change.key).set(VALUE, change.value);
+    if (change.lease != 0) {
+      node.put(LEASE, change.lease);
+    }
+    return node;
+  }
+
   /** Returns the body of a request for a lease with a time-to-live in milliseconds. */
   public static JsonNode leaseRequest(long ttlMs) {
     return Json.object().put("life_ms", ttlMs);
--- a/src/testbench/java/org/snowturn/simulation/SimulatedCloud.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedCloud.java
@@ -21,7 +21,7 @@
   /** Default page size of the list of machines. */
   private static final int MAX_LISTED = 500;
 
-  private static final String MACHINE_TYPE = "t8";
+  static final String MACHINE_TYPE = "t8";
 
   /** Time after which the cloud reports a machine as failed. */
   private static final long FAILURE_REPORT_DELAY_MS = 30_000;
--- a/src/testbench/java/org/snowturn/simulation/SimulatedJobs.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedJobs.java
@@ -61,6 +61,13 @@
       ArrayNode awaits = node.putArray("awaits");
       dependencies.forEach(awaits::add);
     }
+    if (options.containsKey("types")) {
+      ArrayNode types = node.putArray("hulls").add(SimulatedCloud.MACHINE_TYPE);
+      int unknownTypes = Integer.parseInt(options.get("types"));
+      for (int i = 0; i < unknownTypes; i++) {
+        types.add("a");
+      }
+    }
     if (options.containsKey("due")) {
       node.put("due_s", Double.parseDouble(options.get("due")));
     }
