--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -97,7 +97,22 @@
             liveJobs,
             liveJobMemory);
     jobApi =
-        new JobApi(settings, runtime, services, election::isStateServiceHealthy, cancelledJobs());
+        new JobApi(
+            settings,
+            runtime,
+            services,
+            election::isStateServiceHealthy,
+            cancelledJobs(),
+            this::requestProgress);
+  }
+
+  /** Publishes the progress of jobs as the leader, or asks the leader to. */
+  private void requestProgress(List<String> jobs) {
+    if (leader != null) {
+      leader.publishProgress(jobs);
+    } else {
+      runtime.broadcast(new PeerMessage.ProgressRequest(settings.node(), jobs));
+    }
   }
 
   private CancelledJobs cancelledJobs() {
@@ -309,6 +324,10 @@
   private void onPeerMessage(PeerMessage message) {
     if (message instanceof PeerMessage.JobProgress progress) {
       jobApi.onProgress(progress);
+    } else if (message instanceof PeerMessage.ProgressRequest request) {
+      if (leader != null) {
+        leader.publishProgress(request.jobs());
+      }
     } else if (message instanceof PeerMessage.RateDemandReport report) {
       rateAllocator.recordPeerDemand(report.from(), report.demand(), runtime.now());
     } else if (message instanceof PeerMessage.ConnectivityReport report) {
--- a/src/main/java/org/snowturn/core/PeerMessage.java
+++ b/src/main/java/org/snowturn/core/PeerMessage.java
@@ -118,6 +118,13 @@
    */
   record JobProgress(String from, String job, int done, int running) implements PeerMessage {}
 
+  /**
+   * A request that the leader publish the progress of jobs now.
+   *
+   * @param jobs the ids of the jobs
+   */
+  record ProgressRequest(String from, List<String> jobs) implements PeerMessage {}
+
   /**
    * The position up to which the sender has received a peer's log of cancellations.
    *
--- a/src/main/java/org/snowturn/core/api/JobApi.java
+++ b/src/main/java/org/snowturn/core/api/JobApi.java
@@ -1,6 +1,8 @@
 package org.snowturn.core.api;
 
+import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.snowturn.config.Settings;
 import org.snowturn.core.PeerMessage;
 import org.snowturn.core.admission.AdmissionController;
@@ -48,13 +50,15 @@
    *
    * @param isStateServiceHealthy supplies whether the state service has answered this node recently
    * @param cancelled cancellations that are known to this node
+   * @param requestProgress asks the leader for the progress of jobs, which may be this node
    */
   public JobApi(
       Settings settings,
       CoreRuntime runtime,
       Services services,
       BooleanSupplier isStateServiceHealthy,
-      CancelledJobs cancelled) {
+      CancelledJobs cancelled,
+      Consumer<List<String>> requestProgress) {
     StateRequestRelay relay = services.relay();
     responses =
         new UserResponses(
@@ -63,7 +67,8 @@
             cancelled,
             () -> isStateServiceHealthy.getAsBoolean() || relay.canReachStateService());
     reader =
-        new JobStatusReader(runtime, relay, services.liveJobs(), cancelled, statuses, responses);
+        new JobStatusReader(
+            runtime, relay, services.liveJobs(), cancelled, statuses, responses, requestProgress);
     SubmissionValidator validator = new SubmissionValidator(settings, services.machineTypes());
     submission = new JobSubmission(runtime, services, validator, statuses, reader, responses);
     cancellation = new JobCancellation(runtime, services, statuses, reader, responses);
@@ -72,6 +77,7 @@
   /** Records the progress of a job that the leader has published. */
   public void onProgress(PeerMessage.JobProgress progress) {
     statuses.onProgress(progress);
+    reader.onProgress(progress.job());
   }
 
   /** Submits a job. The operation is idempotent. */
--- a/src/main/java/org/snowturn/core/api/JobStatusReader.java
+++ b/src/main/java/org/snowturn/core/api/JobStatusReader.java
@@ -12,6 +12,7 @@
 import org.snowturn.core.effects.LogField;
 import org.snowturn.core.model.LiveJobs;
 import org.snowturn.core.storage.JobRecord;
+import org.snowturn.core.storage.LruMap;
 import org.snowturn.core.storage.StorageKeys;
 import org.snowturn.wire.JobStatus;
 import org.snowturn.wire.MalformedException;
@@ -26,12 +27,16 @@
   /** Timeout of requests to the state service for which a user is waiting, in milliseconds. */
   static final int STATE_REQUEST_TIMEOUT_MS = 1800;
 
+  /** Number of jobs for which the time of the latest progress is kept. */
+  private static final int MAX_HEARD = 5_000;
+
   private final CoreRuntime runtime;
   private final StateRequestRelay relay;
   private final LiveJobCache liveJobs;
   private final CancelledJobs cancelled;
   private final JobStatusCache statuses;
   private final UserResponses responses;
+  private final ProgressLookup progressLookup;
 
   JobStatusReader(
       CoreRuntime runtime,
@@ -39,13 +44,20 @@
       LiveJobCache liveJobs,
       CancelledJobs cancelled,
       JobStatusCache statuses,
-      UserResponses responses) {
+      UserResponses responses,
+      Consumer<List<String>> requestProgress) {
     this.runtime = runtime;
     this.relay = relay;
     this.liveJobs = liveJobs;
     this.cancelled = cancelled;
     this.statuses = statuses;
     this.responses = responses;
+    this.progressLookup = new ProgressLookup(runtime, new LruMap<>(MAX_HEARD), requestProgress);
+  }
+
+  /** Handles the progress of a job that the leader has published. */
+  void onProgress(String job) {
+    progressLookup.onProgress(job);
   }
 
   /**
@@ -74,10 +86,28 @@
       responses.refuse(exchange);
     } else {
       JobStatus.Phase phase = live.cancelled() ? JobStatus.Phase.ABORTED : JobStatus.Phase.QUEUED;
-      onStatus.accept(statuses.ofPhase(id, phase));
+      acceptLive(statuses.ofPhase(id, phase), onStatus);
     }
   }
 
+  /**
+   * Passes on the status of a job. One that seems to wait may run by now: the leader is asked
+   * unless its word is recent.
+   */
+  private void acceptLive(JobStatus status, Consumer<JobStatus> onStatus) {
+    if (status.phase() != JobStatus.Phase.QUEUED) {
+      onStatus.accept(status);
+      return;
+    }
+    progressLookup.whenKnown(
+        status.id(),
+        () -> {
+          JobStatus known = statuses.finalStatus(status.id());
+          onStatus.accept(
+              known != null ? known : statuses.ofPhase(status.id(), JobStatus.Phase.QUEUED));
+        });
+  }
+
   /** Reads the live record, then the final one. A record moves only in this direction. */
   private void readRecords(long exchange, String id, Consumer<JobStatus> onStatus) {
     readRecord(
@@ -91,7 +121,7 @@
               && mayHaveCancelledDependency(JobRecord.dependencies(live.value()))) {
             responses.refuse(exchange);
           } else {
-            onStatus.accept(statuses.ofRecord(id, live.value()));
+            acceptLive(statuses.ofRecord(id, live.value()), onStatus);
           }
         });
   }
--- a/src/main/java/org/snowturn/core/leader/Leader.java
+++ b/src/main/java/org/snowturn/core/leader/Leader.java
@@ -116,6 +116,13 @@
     heartbeatHandler.handle(exchange, heartbeat);
   }
 
+  /** Publishes the progress of these jobs now, unless the stored records are still being read. */
+  public void publishProgress(List<String> jobs) {
+    if (!term.hasEnded() && recovery.isLoaded()) {
+      progressPublisher.publish(jobs);
+    }
+  }
+
   /** Ends the term, after which none of its services acts any more. */
   public void end() {
     term.end();
--- a/src/main/java/org/snowturn/core/leader/ProgressPublisher.java
+++ b/src/main/java/org/snowturn/core/leader/ProgressPublisher.java
@@ -1,6 +1,7 @@
 package org.snowturn.core.leader;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.snowturn.core.PeerMessage;
 import org.snowturn.core.api.JobApi;
@@ -34,12 +35,27 @@
     nextPublishAt = runtime.now() + INTERVAL_MS;
     lastPublished.keySet().removeIf(id -> assignments.job(id) == null);
     for (Job job : assignments.jobs()) {
-      PeerMessage.JobProgress progress =
-          new PeerMessage.JobProgress(nodeName, job.spec.id(), job.done(), job.running());
+      PeerMessage.JobProgress progress = progressOf(job);
       if (!progress.equals(lastPublished.put(job.spec.id(), progress))) {
-        jobApi.onProgress(progress);
-        runtime.broadcast(progress);
+        publish(progress);
       }
     }
   }
+
+  /** Publishes the progress of these jobs; no task runs of a job that is not live. */
+  void publish(List<String> jobs) {
+    for (String id : jobs) {
+      Job job = assignments.job(id);
+      publish(job == null ? new PeerMessage.JobProgress(nodeName, id, 0, 0) : progressOf(job));
+    }
+  }
+
+  private void publish(PeerMessage.JobProgress progress) {
+    jobApi.onProgress(progress);
+    runtime.broadcast(progress);
+  }
+
+  private PeerMessage.JobProgress progressOf(Job job) {
+    return new PeerMessage.JobProgress(nodeName, job.spec.id(), job.done(), job.running());
+  }
 }
--- a/src/main/java/org/snowturn/peer/MessageKind.java
+++ b/src/main/java/org/snowturn/peer/MessageKind.java
@@ -72,7 +72,12 @@
       14,
       PeerMessage.LeaseEnded.class,
       (out, message) -> out.writeLong(message.token()),
-      (from, in) -> new PeerMessage.LeaseEnded(from, in.readLong()));
+      (from, in) -> new PeerMessage.LeaseEnded(from, in.readLong())),
+  PROGRESS_REQUEST(
+      15,
+      PeerMessage.ProgressRequest.class,
+      (out, message) -> FieldCodec.writeTexts(out, message.jobs()),
+      (from, in) -> new PeerMessage.ProgressRequest(from, FieldCodec.readTexts(in)));
 
   /** Writes the fields that follow the sender. */
   private interface FieldWriter<T extends PeerMessage> {
--- a/src/test/java/org/snowturn/peer/PeerCodecTest.java
+++ b/src/test/java/org/snowturn/peer/PeerCodecTest.java
@@ -37,6 +37,7 @@
           new PeerMessage.RateDemandReport("n2", new RateDemands.Demand(31.5, 2.25, 0)),
           new PeerMessage.LeaseHandover("n0", 12, 99),
           new PeerMessage.LeaseEnded("n1", 99),
+          new PeerMessage.ProgressRequest("n1", List.of("wk-000001", "wk-000002")),
           new PeerMessage.CancellationsRequest(
               "n0", 8, Map.of("n1", new PeerMessage.LogPosition("life", 41))),
           new PeerMessage.CancellationsReply(
--- a/src/testbench/java/org/snowturn/simulation/InvariantChecker.java
+++ b/src/testbench/java/org/snowturn/simulation/InvariantChecker.java
@@ -31,6 +31,12 @@
   /** Maximum time until a leader learns what its peers or the state service know. */
   private static final long MAX_PROPAGATION_MS = 1_000;
 
+  /** Maximum time by which an answer about a job may lag. */
+  private static final long MAX_STATUS_LAG_MS = 3_000;
+
+  /** Time after the last fault until all nodes are connected and one leads. */
+  private static final long MAX_RECOVERY_MS = 5_000;
+
   /** Maximum time between inputs of two nodes checked for authority; longer than a tick. */
   private static final long LEADER_OVERLAP_MS = 100;
 
@@ -251,6 +257,23 @@
     }
   }
 
+  /**
+   * Reports a job that an answer calls queued, though one of its tasks had been running for longer
+   * than an answer may lag when it was asked about. Answers to requests during faults and shortly
+   * after them are not checked.
+   */
+  void checkQueued(String job, long requestedAt) {
+    if (requestedAt < cluster.faultsEndMs + MAX_RECOVERY_MS) {
+      return;
+    }
+    for (StartedTask started : startedTasksByJob.getOrDefault(job, List.of())) {
+      if (started.isPresent() && started.atMs < requestedAt - MAX_STATUS_LAG_MS) {
+        reportViolation("state_lag", job + " called queued, " + started);
+        return;
+      }
+    }
+  }
+
   /**
    * Reports a job that an answer calls queued or running although the cancellation of one of its
    * dependencies was confirmed longer ago than the cancellation limit.
--- a/src/testbench/java/org/snowturn/simulation/SimulatedClients.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedClients.java
@@ -560,6 +560,9 @@
             checkAnswer(submitted, requestedAt, null);
           } else if (status == 200) {
             recordAnswer(submitted, requestedAt, body);
+            if (body.path("phase").asText().equals("queued")) {
+              cluster.invariants.checkQueued(id, requestedAt);
+            }
           }
         },
         () -> {});
