--- a/src/main/java/org/snowturn/core/assignment/HeartbeatProcessor.java
+++ b/src/main/java/org/snowturn/core/assignment/HeartbeatProcessor.java
@@ -268,7 +268,10 @@
     for (TaskStatus status : heartbeat.tasks()) {
       Job job = assignments.job(status.job());
       if (job == null || status.task() >= job.taskCount()) {
-        unaccounted += cases.isQuarantined(status) ? 1 : 0;
+        if (cases.isQuarantined(status)) {
+          unaccounted++;
+          assignments.registry().onQuarantinedTaskReported(status.job());
+        }
         continue;
       }
       Verdict verdict = Reconciliation.decide(cases.caseOfListed(machine, heartbeat, status, job));
--- a/src/main/java/org/snowturn/core/assignment/JobRegistry.java
+++ b/src/main/java/org/snowturn/core/assignment/JobRegistry.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.snowturn.core.MonotonicTime;
 import org.snowturn.core.Outcome;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.effects.LogEvent;
@@ -50,6 +51,8 @@
   /** Jobs with an unreadable record, which are left unchanged. */
   private final Set<String> quarantinedJobs = new HashSet<>();
 
+  private final Map<String, Long> quarantinedReportedAt = new HashMap<>();
+
   private final List<JobListener> listeners = new ArrayList<>();
 
   /** Creates an empty registry. */
@@ -232,6 +235,19 @@
     return quarantinedJobs.contains(id);
   }
 
+  /** Records that a machine reports a running task of a quarantined job. */
+  void onQuarantinedTaskReported(String id) {
+    quarantinedReportedAt.put(id, runtime.now());
+  }
+
+  /**
+   * Returns the time at which a machine last reported a running task of a quarantined job; {@link
+   * MonotonicTime#UNSET} if none has.
+   */
+  public long quarantinedReportedAt(String id) {
+    return quarantinedReportedAt.getOrDefault(id, MonotonicTime.UNSET);
+  }
+
   /** Reads a job's record again after a write that failed or whose outcome is unknown. */
   public void reread(String id) {
     reread(id, () -> {});
--- a/src/main/java/org/snowturn/core/leader/ProgressPublisher.java
+++ b/src/main/java/org/snowturn/core/leader/ProgressPublisher.java
@@ -3,8 +3,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.snowturn.core.MonotonicTime;
 import org.snowturn.core.PeerMessage;
 import org.snowturn.core.api.JobApi;
+import org.snowturn.core.assignment.HeartbeatProcessor;
 import org.snowturn.core.assignment.TaskAssignments;
 import org.snowturn.core.effects.CoreRuntime;
 import org.snowturn.core.model.Job;
@@ -18,6 +20,7 @@
   private final JobApi jobApi;
   private final TaskAssignments assignments;
   private final Map<String, PeerMessage.JobProgress> lastPublished = new HashMap<>();
+  private final long maxReportAgeMs;
   private long nextPublishAt;
 
   ProgressPublisher(LeaderDependencies shared, TaskAssignments assignments) {
@@ -25,6 +28,7 @@
     this.nodeName = shared.settings().node();
     this.jobApi = shared.jobApi();
     this.assignments = assignments;
+    this.maxReportAgeMs = HeartbeatProcessor.leaseExpiryMs(shared.settings());
   }
 
   /** Publishes the progress that has changed since the last time, if that is due. */
@@ -42,14 +46,25 @@
     }
   }
 
-  /** Publishes the progress of these jobs; no task runs of a job that is not live. */
+  /** Publishes the progress of these jobs. */
   void publish(List<String> jobs) {
     for (String id : jobs) {
       Job job = assignments.job(id);
-      publish(job == null ? new PeerMessage.JobProgress(nodeName, id, 0, 0) : progressOf(job));
+      publish(job == null ? progressOfUnknown(id) : progressOf(job));
     }
   }
 
+  /**
+   * Returns the progress of a job that is not live, of which no task runs, or whose record is
+   * unreadable: machines may still report its tasks.
+   */
+  private PeerMessage.JobProgress progressOfUnknown(String id) {
+    long reportedAt = assignments.registry().quarantinedReportedAt(id);
+    boolean isRunning =
+        reportedAt != MonotonicTime.UNSET && runtime.now() - reportedAt <= maxReportAgeMs;
+    return new PeerMessage.JobProgress(nodeName, id, 0, isRunning ? 1 : 0);
+  }
+
   private void publish(PeerMessage.JobProgress progress) {
     jobApi.onProgress(progress);
     runtime.broadcast(progress);
--- a/src/testbench/java/org/snowturn/simulation/InvariantChecker.java
+++ b/src/testbench/java/org/snowturn/simulation/InvariantChecker.java
@@ -263,7 +263,7 @@
    * after them are not checked.
    */
   void checkQueued(String job, long requestedAt) {
-    if (requestedAt < cluster.faultsEndMs + MAX_RECOVERY_MS) {
+    if (requestedAt - MAX_RECOVERY_MS < cluster.faultsEndMs) {
       return;
     }
     for (StartedTask started : startedTasksByJob.getOrDefault(job, List.of())) {
