--- a/src/testbench/java/org/snowturn/simulation/SimulatedCloud.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedCloud.java
@@ -80,6 +80,7 @@
   long listLagMs = 3_000;
 
   private int nextMachineNumber = 1;
+  private DrawnOrder order;
 
   SimulatedCloud(SimulatedCluster cluster) {
     this.cluster = cluster;
@@ -88,6 +89,7 @@
   /** Executes a call and answers it, unless the reply is lost. */
   void handle(Effect.Call call, SimulatedCluster.ReplyHandler reply) {
     callsByPath.merge(call.path(), 1, Integer::sum);
+    order = order == null ? new DrawnOrder(cluster.seed) : order;
     if (outage) {
       reply.onReply(Outcome.REFUSED, 503, Json.object().put("error", "trouble"));
     } else if (call.path().equals("/catalog")) {
@@ -122,7 +124,7 @@
         .put("market_price", 0.3);
     machineType.put("ready_s", bootMs / 1000.0);
     ArrayNode zones = machineType.putArray("fields");
-    cluster.settings[0].zones().forEach(zones::add);
+    order.apply(cluster.settings[0].zones()).forEach(zones::add);
     return object;
   }
 
@@ -146,7 +148,7 @@
       machinesByRequest.put(requestName, ids);
     }
     ObjectNode object = Json.object();
-    ids.forEach(object.putArray("drifts")::add);
+    order.apply(ids).forEach(object.putArray("drifts")::add);
     if (loseNextRentalReply) {
       loseNextRentalReply = false;
     } else {
--- a/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
+++ b/src/testbench/java/org/snowturn/simulation/SimulatedWorker.java
@@ -144,7 +144,7 @@
       body.put("recall_s", reclaimNoticeS);
     }
     ArrayNode list = body.putArray("flakes");
-    tasks.values().forEach(task -> list.add(task.describe()));
+    messages.inListedOrder(tasks.values()).forEach(task -> list.add(task.describe()));
     return body;
   }
 
--- a/src/testbench/java/org/snowturn/simulation/WorkerMessages.java
+++ b/src/testbench/java/org/snowturn/simulation/WorkerMessages.java
@@ -1,6 +1,8 @@
 package org.snowturn.simulation;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collection;
+import java.util.List;
 import org.snowturn.wire.Json;
 import org.snowturn.wire.MessageSize;
 
@@ -17,10 +19,12 @@
 
   private final SimulatedCluster cluster;
   private final String machine;
+  private final DrawnOrder order;
 
   WorkerMessages(SimulatedCluster cluster, String machine) {
     this.cluster = cluster;
     this.machine = machine;
+    this.order = new DrawnOrder(31 * cluster.seed + machine.hashCode());
   }
 
   /** Returns the layout of the worker's reports. */
@@ -30,6 +34,13 @@
         : ReportLayout.COMPACT;
   }
 
+  /**
+   * Returns the tasks in the order in which the next report lists them, which PROTOCOL leaves open.
+   */
+  List<SimulatedTask> inListedOrder(Collection<SimulatedTask> tasks) {
+    return order.apply(tasks);
+  }
+
   /** Returns whether a report of the worker is longer than allowed. */
   boolean isReportTooLong(JsonNode report) {
     int maxBytes =
