--- a/src/main/java/org/snowturn/core/assignment/AttemptGuard.java
+++ b/src/main/java/org/snowturn/core/assignment/AttemptGuard.java
@@ -89,8 +89,8 @@
         job.adopted.get(task),
         job.stopping.get(task),
         machine.fence.canStartArrive(job.attemptOf(task), task),
-        machine.isTerminationConfirmed(),
-        machine.cloudState() == CloudMachine.State.FAILED,
+        machine.lifecycle.isTerminationConfirmed(),
+        machine.lifecycle.cloudState() == CloudMachine.State.FAILED,
         machine.session.lastAnswerAt(),
         leaseExpiryMs);
   }
--- a/src/main/java/org/snowturn/core/assignment/MachineRegistry.java
+++ b/src/main/java/org/snowturn/core/assignment/MachineRegistry.java
@@ -340,7 +340,7 @@
   private static void removeTerminated(Page page) {
     for (Iterator<Machine> iterator = page.machines.iterator(); iterator.hasNext(); ) {
       Machine machine = iterator.next();
-      if (machine.isGone() && machine.assigned.isEmpty()) {
+      if (machine.lifecycle.isGone() && machine.assigned.isEmpty()) {
         iterator.remove();
         machine.setRegistryPage(NO_PAGE);
         page.hasRemovals = true;
--- a/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
+++ b/src/main/java/org/snowturn/core/assignment/TaskAssignments.java
@@ -271,7 +271,7 @@
       return;
     }
     Machine machine = machines.get(job.machineOf(task));
-    if (job.isCancelled() || job.epochOf(task) != machine.epoch() || machine.isGone()) {
+    if (job.isCancelled() || job.epochOf(task) != machine.epoch() || machine.lifecycle.isGone()) {
       release(job, task, new EndEvidence.NeverSent());
       return;
     }
--- a/src/main/java/org/snowturn/core/autoscaling/MachineInventory.java
+++ b/src/main/java/org/snowturn/core/autoscaling/MachineInventory.java
@@ -122,7 +122,8 @@
     isLoaded = true;
     for (CloudMachine cloudMachine : listed) {
       Machine machine = machines.getOrAdd(cloudMachine.id());
-      if (!machine.isTerminationConfirmed()) { // a deleted machine is still listed for a while
+      if (!machine.lifecycle
+          .isTerminationConfirmed()) { // a deleted machine is still listed for a while
         update(machine, cloudMachine);
       }
     }
@@ -130,23 +131,23 @@
   }
 
   private void update(Machine machine, CloudMachine cloudMachine) {
-    if (machine.isGone()) {
+    if (machine.lifecycle.isGone()) {
       log(LogEvent.MACHINE_RELISTED, machine);
       machines.restore(machine);
     }
     updateAge(machine, cloudMachine);
-    machine.setCloudState(cloudMachine.state());
+    machine.lifecycle.setCloudState(cloudMachine.state());
     if (machine.type() == null) {
       describe(machine, cloudMachine);
     }
-    if (cloudMachine.state() == CloudMachine.State.FAILED && !machine.isTerminating()) {
+    if (cloudMachine.state() == CloudMachine.State.FAILED && !machine.lifecycle.isTerminating()) {
       log(LogEvent.MACHINE_FAILED, machine);
       heartbeats.onMachineFailed(machine);
-      machine.beginTermination();
+      machine.lifecycle.beginTermination();
     }
-    if (isOverdue(machine, cloudMachine) && !machine.isTerminating()) {
+    if (isOverdue(machine, cloudMachine) && !machine.lifecycle.isTerminating()) {
       log(LogEvent.MACHINE_NEVER_UP, machine);
-      machine.beginTermination();
+      machine.lifecycle.beginTermination();
     }
   }
 
@@ -160,9 +161,10 @@
    */
   private void updateAge(Machine machine, CloudMachine cloudMachine) {
     long rentedAt = runtime.now() - (long) (cloudMachine.ageS() * 1000);
-    boolean isNewMachine = machine.firstSeenAt() == 0;
-    machine.setFirstSeenAt(isNewMachine ? rentedAt : Math.min(machine.firstSeenAt(), rentedAt));
-    machine.setListedAt(runtime.now());
+    boolean isNewMachine = machine.lifecycle.firstSeenAt() == 0;
+    machine.lifecycle.setFirstSeenAt(
+        isNewMachine ? rentedAt : Math.min(machine.lifecycle.firstSeenAt(), rentedAt));
+    machine.lifecycle.setListedAt(runtime.now());
   }
 
   private void describe(Machine machine, CloudMachine cloudMachine) {
@@ -191,8 +193,8 @@
     long unlistedMs =
         (long) (1000 * (LIST_LAGS * settings.cloudLimits().listLagS() + LIST_MARGIN_S));
     for (Machine machine : machines.present()) {
-      long lastKnownAt = Math.max(machine.listedAt(), machine.firstSeenAt());
-      if (!machine.isTerminating()
+      long lastKnownAt = Math.max(machine.lifecycle.listedAt(), machine.lifecycle.firstSeenAt());
+      if (!machine.lifecycle.isTerminating()
           && isSilent(machine, now)
           && machine.assigned.isEmpty()
           && now - lastKnownAt > unlistedMs) {
--- a/src/main/java/org/snowturn/core/autoscaling/MachineRentals.java
+++ b/src/main/java/org/snowturn/core/autoscaling/MachineRentals.java
@@ -143,14 +143,15 @@
 
   private void addMachine(String id, CapacityPool pool) {
     Machine machine = machines.getOrAdd(id);
-    machine.markRentedInThisTerm();
+    machine.lifecycle.markRentedInThisTerm();
     if (machine.type() == null) {
       machine.setType(pool.type());
       assignments.setZone(machine, pool.zone());
       machine.setSpot(pool.spot());
       machine.setMachineType(machineTypes.get(pool.type()));
     }
-    machine.setFirstSeenAt(machine.firstSeenAt() == 0 ? runtime.now() : machine.firstSeenAt());
+    machine.lifecycle.setFirstSeenAt(
+        machine.lifecycle.firstSeenAt() == 0 ? runtime.now() : machine.lifecycle.firstSeenAt());
   }
 
   private void logRented(ScaleOutRequest request, List<String> ids) {
--- a/src/main/java/org/snowturn/core/autoscaling/MachineTermination.java
+++ b/src/main/java/org/snowturn/core/autoscaling/MachineTermination.java
@@ -64,14 +64,14 @@
    * Marks a machine for deletion. Once the cloud confirms the deletion, all its tasks have ended.
    */
   void terminate(Machine machine, String reason) {
-    if (!machine.isTerminating() && !machine.isGone()) {
+    if (!machine.lifecycle.isTerminating() && !machine.lifecycle.isGone()) {
       runtime
           .events()
           .info(LogEvent.MACHINE_TERMINATING)
           .with(LogField.REASON, reason)
           .with(LogField.MACHINE, machine.id)
           .write();
-      machine.beginTermination();
+      machine.lifecycle.beginTermination();
       if (machine.isSpot() && machine.isSuspected() && machine.preemptionAt() == Long.MAX_VALUE) {
         spotPreemptions.recordPreemption();
       }
@@ -92,7 +92,7 @@
     callsInFlight++;
     nextCallAt = now + intervalMs;
     for (Machine machine : batch) {
-      machine.setTerminateRetryAt(now + TIMEOUT_MS + RETRY_MARGIN_MS);
+      machine.lifecycle.setTerminateRetryAt(now + TIMEOUT_MS + RETRY_MARGIN_MS);
       runtime
           .events()
           .info(LogEvent.TERMINATE)
@@ -114,8 +114,8 @@
   private List<Machine> nextBatch(long now) {
     List<Machine> batch = new ArrayList<>();
     for (Machine machine : machines.present()) {
-      if (machine.isTerminating()
-          && now >= machine.terminateRetryAt()
+      if (machine.lifecycle.isTerminating()
+          && now >= machine.lifecycle.terminateRetryAt()
           && batch.size() < MAX_BATCH) {
         batch.add(machine);
       }
@@ -129,7 +129,7 @@
       if (confirmed) {
         onConfirmed(machine);
       } else {
-        machine.setTerminateRetryAt(runtime.now() + RETRY_AFTER_FAILURE_MS);
+        machine.lifecycle.setTerminateRetryAt(runtime.now() + RETRY_AFTER_FAILURE_MS);
       }
     }
   }
@@ -137,7 +137,7 @@
   private void onConfirmed(Machine machine) {
     runtime.events().info(LogEvent.TERMINATED).with(LogField.MACHINE, machine.id).write();
     machines.remove(machine);
-    machine.confirmTermination();
+    machine.lifecycle.confirmTermination();
     refusals.recordRelease(machine);
     heartbeats.onMachineDeleted(machine);
   }
--- a/src/main/java/org/snowturn/core/autoscaling/ProvisionedCapacity.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ProvisionedCapacity.java
@@ -63,7 +63,7 @@
     for (Machine machine : machines.present()) {
       machinesInZone[machine.zone()]++;
       boolean isUp = machine.lastHeartbeatAt() != MonotonicTime.UNSET;
-      if (isUp && !machine.isSpot() && !machine.isRentedInThisTerm()) {
+      if (isUp && !machine.isSpot() && !machine.lifecycle.isRentedInThisTerm()) {
         onDemandNotRentedByThisTerm++;
       }
       if (isCounted(machine)) {
@@ -87,9 +87,9 @@
   }
 
   private static boolean isLeaving(Machine machine) {
-    return machine.isGone()
-        || machine.isTerminating()
-        || machine.isScalingIn()
+    return machine.lifecycle.isGone()
+        || machine.lifecycle.isTerminating()
+        || machine.lifecycle.isScalingIn()
         || machine.preemptionAt() != Long.MAX_VALUE;
   }
 
--- a/src/main/java/org/snowturn/core/autoscaling/ReplicaRelocation.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ReplicaRelocation.java
@@ -48,7 +48,9 @@
       return;
     }
     for (Machine machine : machines.present()) {
-      if (machine.isScalingIn() && !machine.isTerminating() && relocateOneFrom(machine)) {
+      if (machine.lifecycle.isScalingIn()
+          && !machine.lifecycle.isTerminating()
+          && relocateOneFrom(machine)) {
         return;
       }
     }
--- a/src/main/java/org/snowturn/core/autoscaling/ScaleIn.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ScaleIn.java
@@ -78,7 +78,7 @@
     relocation.relocateOne();
     boolean hasFewQuarantined = quarantinedCount * 3 <= presentCount;
     for (Machine machine : machines.present()) {
-      if (!machine.isTerminating()) {
+      if (!machine.lifecycle.isTerminating()) {
         returnIfIdleOrQuarantined(machine, hasFewQuarantined);
       }
     }
@@ -97,10 +97,10 @@
   }
 
   private boolean isIdle(Machine machine, long now) {
-    return machine.isScalingIn()
+    return machine.lifecycle.isScalingIn()
         && machine.assigned.isEmpty()
         && machine.unaccountedTasks() == 0
-        && now - machine.firstSeenAt() > MIN_BILLED_MS - BILLING_MARGIN_MS
+        && now - machine.lifecycle.firstSeenAt() > MIN_BILLED_MS - BILLING_MARGIN_MS
         && now - machine.idleSince() > maxIdleMs(machine);
   }
 
@@ -130,7 +130,7 @@
         continue;
       }
       if (spot || relocation.isPossibleForAll(machine)) {
-        machine.beginScaleIn();
+        machine.lifecycle.beginScaleIn();
         capacity.remove(machine);
         remainingToDrain--;
       }
@@ -147,7 +147,7 @@
       if (machine.isSpot() == spot
           && capacity.isCounted(machine)
           && machine.lastHeartbeatAt() != MonotonicTime.UNSET
-          && runtime.now() - machine.firstSeenAt() > MIN_BILLED_MS / 2
+          && runtime.now() - machine.lifecycle.firstSeenAt() > MIN_BILLED_MS / 2
           && isSurplus(machine, targetCpus)) {
         candidates.add(machine);
       }
--- a/src/main/java/org/snowturn/core/autoscaling/ScaleOut.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ScaleOut.java
@@ -53,11 +53,11 @@
 
   private void cancelScaleIn(boolean spot, double targetCpus) {
     for (Machine machine : machines.present()) {
-      if (machine.isScalingIn()
-          && !machine.isTerminating()
+      if (machine.lifecycle.isScalingIn()
+          && !machine.lifecycle.isTerminating()
           && machine.isSpot() == spot
           && capacity.cpus(spot) < targetCpus) {
-        machine.cancelScaleIn();
+        machine.lifecycle.cancelScaleIn();
         capacity.add(machine);
         assignments.markChanged();
       }
--- a/src/main/java/org/snowturn/core/autoscaling/ZoneOutages.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ZoneOutages.java
@@ -48,7 +48,8 @@
   /** Counts a machine that has sent at least one heartbeat. */
   public void count(Machine machine, boolean isSilent) {
     (isSilent ? silentMachines : heardMachines)[machine.zone()]++;
-    silentRemainingMachines[machine.zone()] += isSilent && !machine.isTerminating() ? 1 : 0;
+    silentRemainingMachines[machine.zone()] +=
+        isSilent && !machine.lifecycle.isTerminating() ? 1 : 0;
   }
 
   /** Evaluates the counts. An outage ends as soon as one of the zone's machines is heard. */
--- a/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
+++ b/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
@@ -226,7 +226,7 @@
     return !isBusy
         && machine.address() != null
         && (!queue.isEmpty() || isProbeRequested)
-        && !machine.isGone()
+        && !machine.lifecycle.isGone()
         && host.hasAuthority();
   }
 
--- a/src/main/java/org/snowturn/core/leader/HealthSweep.java
+++ b/src/main/java/org/snowturn/core/leader/HealthSweep.java
@@ -123,7 +123,7 @@
   }
 
   private void checkMachine(Machine machine) {
-    machineCount += machine.isTerminating() ? 0 : 1;
+    machineCount += machine.lifecycle.isTerminating() ? 0 : 1;
     boolean isSilent = machineSilence.isSilent(machine);
     boolean isHeard = MachineSilenceDetector.hasBeenHeard(machine);
     // A machine that has not been heard yet counts as silent once it has missed one probe. If it
@@ -147,7 +147,7 @@
   private void replaceUnheard(Machine machine) {
     if (machine.assigned.isEmpty()
         && machineSilence.isTermOlderThan(2 * HeartbeatProcessor.leaseExpiryMs(settings))
-        && machine.listedAt() == MonotonicTime.UNSET) {
+        && machine.lifecycle.listedAt() == MonotonicTime.UNSET) {
       machines.remove(machine);
     } else if (machineSilence.canReplaceUnheard(machine)) {
       scheduling.autoscaler().terminate(machine, "not heard of since the change of leader");
@@ -157,7 +157,7 @@
   private void checkHeard(Machine machine, boolean isSilent) {
     boolean missesHeartbeats = machine.isMissingHeartbeats(runtime.now());
     boolean isLost = isSilent || missesHeartbeats;
-    silentCount += isLost && !machine.isTerminating() ? 1 : 0;
+    silentCount += isLost && !machine.lifecycle.isTerminating() ? 1 : 0;
     heardCount += isLost ? 0 : 1;
     missingHeartbeatsCount += missesHeartbeats && !isSilent ? 1 : 0;
     services.failureHandler().reassess(machine);
@@ -171,7 +171,7 @@
 
   /** Probes or replaces a machine whose heartbeats arrive but which may receive no messages. */
   private void replaceUnreachable(Machine machine) {
-    if (machine.isTerminating() || machine.reachability.isProven()) {
+    if (machine.lifecycle.isTerminating() || machine.reachability.isProven()) {
       return;
     }
     reachability.probeIfDue(machine);
@@ -199,7 +199,7 @@
     boolean isOverdue =
         runtime.now() - HeartbeatProcessor.leaseExpiryMs(settings)
             > machine.session.heartbeatDueAt();
-    if (!machine.isTerminating()
+    if (!machine.lifecycle.isTerminating()
         && isOverdue
         && lastMissingHeartbeatsCount * 2 < lastMachineCount
         && machineSilence.canReplaceHeard()) {
@@ -210,7 +210,7 @@
   }
 
   private void probeOrReplaceSilent(Machine machine) {
-    if (machine.isProbing() || machine.isTerminating() || machine.address() == null) {
+    if (machine.isProbing() || machine.lifecycle.isTerminating() || machine.address() == null) {
       return;
     }
     if (runtime.now() > machine.preemptionAt()) {
--- a/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
+++ b/src/main/java/org/snowturn/core/leader/HeartbeatHandler.java
@@ -72,12 +72,12 @@
       return;
     }
     Machine machine = machines.getOrAdd(heartbeat.machine());
-    if (machine.isGone()
-        && !machine.isTerminationConfirmed()
+    if (machine.lifecycle.isGone()
+        && !machine.lifecycle.isTerminationConfirmed()
         && heartbeat.agentEpoch() > machine.epoch()) {
       machines.restore(machine);
     }
-    if (machine.isGone() || heartbeat.agentEpoch() <= machine.session.endedEpoch()) {
+    if (machine.lifecycle.isGone() || heartbeat.agentEpoch() <= machine.session.endedEpoch()) {
       // The machine is terminated or its agent epoch has ended, so its lease must not be renewed.
       refuse(exchange, heartbeat, "session_over");
     } else if (!recovery.isLoaded()) {
@@ -168,7 +168,7 @@
     }
     if (!term.hasAuthority()) {
       refuse(deferred.exchange(), deferred.heartbeat(), "no_authority");
-    } else if (machine.isGone()
+    } else if (machine.lifecycle.isGone()
         || deferred.heartbeat().agentEpoch() <= machine.session.endedEpoch()) {
       refuse(deferred.exchange(), deferred.heartbeat(), "session_over");
     } else {
@@ -224,7 +224,7 @@
   /** Handles the heartbeat that a worker has sent in reply to a direct message. */
   void handleReply(Heartbeat heartbeat) {
     Machine machine = machines.find(heartbeat.machine());
-    if (term.hasEnded() || !recovery.isLoaded() || machine == null || machine.isGone()) {
+    if (term.hasEnded() || !recovery.isLoaded() || machine == null || machine.lifecycle.isGone()) {
       return;
     }
     reachability.onMessageAnswered(machine, heartbeat);
@@ -240,8 +240,8 @@
   void apply(Machine machine, Heartbeat heartbeat) {
     if (machine.address() == null || machine.machineType() == null || !machine.isRegistered()) {
       services.heartbeatProcessor().updateDescription(machine, heartbeat);
-      if (machine.firstSeenAt() == 0) {
-        machine.setFirstSeenAt(runtime.now());
+      if (machine.lifecycle.firstSeenAt() == 0) {
+        machine.lifecycle.setFirstSeenAt(runtime.now());
       }
     }
     if (machine.idleSince() == 0) {
--- a/src/main/java/org/snowturn/core/leader/Leader.java
+++ b/src/main/java/org/snowturn/core/leader/Leader.java
@@ -84,7 +84,7 @@
     jobWatch.startFrom(recovery.jobWatchRevision());
     earlyHeartbeats.forEach(
         (machine, heartbeat) -> {
-          if (!machine.isGone()) {
+          if (!machine.lifecycle.isGone()) {
             heartbeatHandler.apply(machine, heartbeat);
           }
         });
--- a/src/main/java/org/snowturn/core/leader/RecoveryProber.java
+++ b/src/main/java/org/snowturn/core/leader/RecoveryProber.java
@@ -133,7 +133,7 @@
     int next;
     while ((next = probes.nextMachine(runtime.now())) >= 0) {
       Machine machine = machines.get(next);
-      if (machine.isGone() || machine.isTerminating()) {
+      if (machine.lifecycle.isGone() || machine.lifecycle.isTerminating()) {
         probes.remove(next);
       } else if (machine.address() == null) {
         probes.onProbeUnanswered(next, runtime.now(), false);
@@ -187,7 +187,7 @@
   /** Stops probing the machines that are being terminated. */
   void dropTerminatingMachines() {
     for (Machine machine : machines.present()) {
-      if (machine.isTerminating()) {
+      if (machine.lifecycle.isTerminating()) {
         probes.remove(machine.index);
       }
     }
--- a/src/main/java/org/snowturn/core/leader/StoredRecordsLoader.java
+++ b/src/main/java/org/snowturn/core/leader/StoredRecordsLoader.java
@@ -102,7 +102,7 @@
     machine.setMachineType(shared.machineTypes().get(machine.type()));
     machine.images.markStored();
     machine.session.setLastAnswerAt(Math.max(machine.session.lastAnswerAt(), runtime.now()));
-    machine.setFirstSeenAt(runtime.now());
+    machine.lifecycle.setFirstSeenAt(runtime.now());
     machine.markRegistered();
   }
 
--- a/src/main/java/org/snowturn/core/model/Machine.java
+++ b/src/main/java/org/snowturn/core/model/Machine.java
@@ -3,7 +3,6 @@
 import org.agrona.collections.LongHashSet;
 import org.snowturn.core.MonotonicTime;
 import org.snowturn.core.health.Reachability;
-import org.snowturn.wire.CloudMachine;
 import org.snowturn.wire.JobSpec;
 import org.snowturn.wire.MachineType;
 import org.snowturn.wire.Priority;
@@ -28,20 +27,14 @@
   /** The part of a heartbeat's maximum size that the machine's tasks use. */
   public final HeartbeatUsage heartbeatUsage = new HeartbeatUsage();
 
+  /** The machine's way from its rental to its termination. */
+  public final MachineLifecycle lifecycle = new MachineLifecycle();
+
   private Registration registration = Registration.NONE;
-  private Presence presence = Presence.PRESENT;
-  private IntendedUse intendedUse = IntendedUse.IN_USE;
-  private long terminateRetryAt;
   private boolean probing;
   private boolean suspected;
   private boolean quarantined;
   private long preemptionAt = Long.MAX_VALUE;
-  private long firstSeenAt;
-
-  private boolean rentedInThisTerm;
-
-  private long listedAt = MonotonicTime.UNSET;
-  private CloudMachine.State cloudState = CloudMachine.State.STARTING;
   private long blockedUntil;
   private long idleSince;
   private long preemptingUntil;
@@ -194,7 +187,7 @@
    * it, and has appeared again. Its agent epochs up to the highest known one count as ended.
    */
   public void restore() {
-    presence = Presence.PRESENT;
+    lifecycle.markPresent();
     session.clearAcknowledgement();
     registration = Registration.NONE;
     session.markEndedThrough(session.epoch());
@@ -219,7 +212,7 @@
    * usable.
    */
   public String unusableReason(long now) {
-    if (presence != Presence.PRESENT || intendedUse != IntendedUse.IN_USE) {
+    if (lifecycle.isLeaving()) {
       return "leaving";
     }
     String silenceReason = silenceReason(now);
@@ -381,65 +374,6 @@
     registration = Registration.DURABLE;
   }
 
-  /** Returns whether the machine is presumed gone or confirmed as terminated. */
-  public boolean isGone() {
-    return presence != Presence.PRESENT;
-  }
-
-  /** Returns whether the cloud has confirmed the termination. */
-  public boolean isTerminationConfirmed() {
-    return presence == Presence.TERMINATED;
-  }
-
-  /** Marks the machine as presumed gone, unless its termination is confirmed. */
-  void presumeGone() {
-    if (presence == Presence.PRESENT) {
-      presence = Presence.PRESUMED_GONE;
-    }
-  }
-
-  /** Records that the cloud has confirmed the termination. */
-  public void confirmTermination() {
-    presence = Presence.TERMINATED;
-  }
-
-  /** Returns whether the machine is to be terminated; this decision is never revoked. */
-  public boolean isTerminating() {
-    return intendedUse == IntendedUse.TERMINATING;
-  }
-
-  /** Marks the machine as to be terminated. */
-  public void beginTermination() {
-    intendedUse = IntendedUse.TERMINATING;
-  }
-
-  /**
-   * Returns whether the machine is drained because it is not needed, with no termination decided.
-   */
-  public boolean isScalingIn() {
-    return intendedUse == IntendedUse.SCALING_IN;
-  }
-
-  /** Begins to drain the machine, unless it is to be terminated already. */
-  public void beginScaleIn() {
-    intendedUse = intendedUse == IntendedUse.IN_USE ? IntendedUse.SCALING_IN : intendedUse;
-  }
-
-  /** Stops draining the machine, unless it is to be terminated already. */
-  public void cancelScaleIn() {
-    intendedUse = intendedUse == IntendedUse.SCALING_IN ? IntendedUse.IN_USE : intendedUse;
-  }
-
-  /** Returns the time before which no request to delete the machine is sent to the cloud. */
-  public long terminateRetryAt() {
-    return terminateRetryAt;
-  }
-
-  /** Sets the time before which no request to delete the machine is sent to the cloud. */
-  public void setTerminateRetryAt(long terminateRetryAt) {
-    this.terminateRetryAt = terminateRetryAt;
-  }
-
   /**
    * Returns whether a probe, which is a message to check that the machine is up, awaits its answer.
    */
@@ -495,49 +429,6 @@
     this.preemptionAt = preemptionAt;
   }
 
-  /** Returns the earliest time at which the machine is known to have existed; 0 if unknown. */
-  public long firstSeenAt() {
-    return firstSeenAt;
-  }
-
-  /** Sets the earliest time at which the machine is known to have existed. */
-  public void setFirstSeenAt(long firstSeenAt) {
-    this.firstSeenAt = firstSeenAt;
-  }
-
-  /** Returns whether this leader has rented the machine. */
-  public boolean isRentedInThisTerm() {
-    return rentedInThisTerm;
-  }
-
-  /** Records that this leader has rented the machine. */
-  public void markRentedInThisTerm() {
-    rentedInThisTerm = true;
-  }
-
-  /**
-   * Returns the time at which the cloud last listed the machine; {@link MonotonicTime#UNSET} if it
-   * was never listed.
-   */
-  public long listedAt() {
-    return listedAt;
-  }
-
-  /** Sets the time at which the cloud last listed the machine. */
-  public void setListedAt(long listedAt) {
-    this.listedAt = listedAt;
-  }
-
-  /** Returns the state in the last list of the cloud. */
-  public CloudMachine.State cloudState() {
-    return cloudState;
-  }
-
-  /** Sets the state in the last list of the cloud. */
-  public void setCloudState(CloudMachine.State cloudState) {
-    this.cloudState = cloudState;
-  }
-
   /**
    * Returns the time before which the machine gets no new tasks, after a refusal or a missing
    * answer.
--- a/src/main/java/org/snowturn/core/model/MachineIndex.java
+++ b/src/main/java/org/snowturn/core/model/MachineIndex.java
@@ -83,14 +83,14 @@
   /** Returns the machines that are not gone, as a list that later changes do not affect. */
   public List<Machine> present() {
     if (present == null) {
-      present = all.stream().filter(machine -> !machine.isGone()).toList();
+      present = all.stream().filter(machine -> !machine.lifecycle.isGone()).toList();
     }
     return present;
   }
 
   /** Marks a machine as presumed gone, so that it is no longer listed as present. */
   public void remove(Machine machine) {
-    machine.presumeGone();
+    machine.lifecycle.presumeGone();
     present = null;
   }
 
