--- a/src/main/java/org/snowturn/core/autoscaling/Autoscaler.java
+++ b/src/main/java/org/snowturn/core/autoscaling/Autoscaler.java
@@ -40,7 +40,7 @@
     CapacityRefusals refusals =
         new CapacityRefusals(cluster.runtime(), machineTypes, cluster.machines());
     usableCpus = new UsableCpus(machineTypes, cluster.assignments());
-    OpenScaleOutRequests openRequests = new OpenScaleOutRequests(machineTypes, usableCpus);
+    OpenScaleOutRequests openRequests = new OpenScaleOutRequests(machineTypes);
     capacity =
         new ProvisionedCapacity(
             cluster.runtime(),
@@ -54,13 +54,7 @@
         new CapacityDemand(cluster, scalingPolicy, capacity, refusals, usableCpus);
     PoolSelector poolSelector =
         new PoolSelector(
-            machineTypes,
-            cluster.machines(),
-            capacity,
-            openRequests,
-            refusals,
-            zoneOutages,
-            usableCpus);
+            machineTypes, cluster.machines(), capacity, openRequests, refusals, zoneOutages);
     inventory = new MachineInventory(cluster, budget, refusals);
     termination = new MachineTermination(cluster, budget, refusals, spotPreemptions);
     rentals = new MachineRentals(cluster, openRequests, refusals, budget, token);
--- a/src/main/java/org/snowturn/core/autoscaling/OpenScaleOutRequests.java
+++ b/src/main/java/org/snowturn/core/autoscaling/OpenScaleOutRequests.java
@@ -10,12 +10,10 @@
   private static final int MAX_OPEN = 6;
 
   private final MachineTypes machineTypes;
-  private final UsableCpus usableCpus;
   private final List<ScaleOutRequest> requests = new ArrayList<>();
 
-  OpenScaleOutRequests(MachineTypes machineTypes, UsableCpus usableCpus) {
+  OpenScaleOutRequests(MachineTypes machineTypes) {
     this.machineTypes = machineTypes;
-    this.usableCpus = usableCpus;
   }
 
   void add(ScaleOutRequest request) {
@@ -47,16 +45,23 @@
     return requests.stream().anyMatch(request -> request.pool().zone() == zone);
   }
 
+  /** Returns the number of requested spot or on-demand machines. */
+  int requestedMachines(boolean spot) {
+    return requests.stream()
+        .filter(request -> request.pool().spot() == spot)
+        .mapToInt(ScaleOutRequest::count)
+        .sum();
+  }
+
   /**
-   * Returns {@code cpus} plus the usable CPUs of all requested spot or all requested on-demand
-   * machines.
+   * Returns {@code cpus} plus the CPUs of all requested spot or all requested on-demand machines.
    */
   double addRequestedCpus(double cpus, boolean spot) {
     double total = cpus;
     for (ScaleOutRequest request : requests) {
       MachineType type = machineTypes.get(request.pool().type());
       if (request.pool().spot() == spot && type != null) {
-        total += request.count() * usableCpus.ofNew(type, spot);
+        total += request.count() * type.cpus();
       }
     }
     return total;
--- a/src/main/java/org/snowturn/core/autoscaling/PoolSelector.java
+++ b/src/main/java/org/snowturn/core/autoscaling/PoolSelector.java
@@ -20,7 +20,6 @@
   private final OpenScaleOutRequests openRequests;
   private final CapacityRefusals refusals;
   private final ZoneOutages zoneOutages;
-  private final UsableCpus usableCpus;
 
   PoolSelector(
       MachineTypes machineTypes,
@@ -28,15 +27,13 @@
       ProvisionedCapacity capacity,
       OpenScaleOutRequests openRequests,
       CapacityRefusals refusals,
-      ZoneOutages zoneOutages,
-      UsableCpus usableCpus) {
+      ZoneOutages zoneOutages) {
     this.machineTypes = machineTypes;
     this.machines = machines;
     this.capacity = capacity;
     this.openRequests = openRequests;
     this.refusals = refusals;
     this.zoneOutages = zoneOutages;
-    this.usableCpus = usableCpus;
   }
 
   /**
@@ -79,23 +76,26 @@
    */
   private double cost(CapacityPool pool, MachineType type, double missingCpus) {
     double price = pool.spot() ? type.hourlySpotPrice() : type.hourlyPrice();
-    double usedCpus = Math.min(missingCpus, usableCpus.ofNew(type, pool.spot()));
+    double usedCpus = Math.min(missingCpus, type.cpus());
     return price
         / Math.max(1, usedCpus)
         * (1 + ZONE_BALANCE_WEIGHT * capacity.cpusInMarketOf(pool));
   }
 
   /**
-   * Returns the number of machines for one request: the missing CPUs divided among the zones of the
+   * Returns the number of machines for one request: what is missing, divided among the zones of the
    * pool's machine type.
+   *
+   * @param missingCpus the CPUs that are missing
+   * @param missingMachines the machines that are missing, whatever their CPUs
    */
-  int machineCount(CapacityPool pool, double missingCpus) {
+  int machineCount(CapacityPool pool, double missingCpus, int missingMachines) {
     if (zoneOutages.hasOutage(pool.zone())) {
       return 1;
     }
     MachineType type = machineTypes.get(pool.type());
-    double cpus = usableCpus.ofNew(type, pool.spot());
-    double count = Math.ceil(missingCpus / Math.max(1, cpus) / type.zones().size());
+    double machineCount = Math.max(missingCpus / Math.max(1, type.cpus()), missingMachines);
+    double count = Math.ceil(machineCount / type.zones().size());
     return (int) Math.max(1, Math.min(MAX_MACHINES_PER_REQUEST, count));
   }
 }
--- a/src/main/java/org/snowturn/core/autoscaling/ProvisionedCapacity.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ProvisionedCapacity.java
@@ -8,6 +8,7 @@
 import org.snowturn.core.model.Machine;
 import org.snowturn.core.model.MachineIndex;
 import org.snowturn.core.model.PreemptionRate;
+import org.snowturn.wire.ListedTaskSize;
 
 /**
  * The CPUs of the machines that are up, booting or requested, as far as work can use them,
@@ -28,6 +29,8 @@
   private final int[] machinesInZone;
   private double onDemandCpus;
   private double spotCpus;
+  private double freeOnDemandListBytes;
+  private double freeSpotListBytes;
   private long lastCountedAt;
 
   ProvisionedCapacity(
@@ -56,6 +59,8 @@
   void recount() {
     onDemandCpus = 0;
     spotCpus = 0;
+    freeOnDemandListBytes = 0;
+    freeSpotListBytes = 0;
     cpusByMarket.clear();
     Arrays.fill(machinesInZone, 0);
     int spotMachinesUp = 0;
@@ -105,10 +110,13 @@
 
   private void adjust(Machine machine, int sign) {
     double cpus = sign * usableCpus.of(machine);
+    double listBytes = sign * (double) Math.max(0, machine.heartbeatUsage.freeBytes());
     if (machine.isSpot()) {
       spotCpus += cpus;
+      freeSpotListBytes += listBytes;
     } else {
       onDemandCpus += cpus;
+      freeOnDemandListBytes += listBytes;
     }
     cpusByMarket.merge(new Market(machine.zone(), machine.isSpot()), cpus, Double::sum);
   }
@@ -123,6 +131,18 @@
     return openRequests.addRequestedCpus(spot ? spotCpus : onDemandCpus, spot);
   }
 
+  /**
+   * Returns how many more spot or on-demand machines, beside requested ones, the waiting tasks need
+   * to have room in heartbeats.
+   */
+  int missingMachines(boolean spot) {
+    double freeBytes =
+        (spot ? freeSpotListBytes : freeOnDemandListBytes)
+            + (double) openRequests.requestedMachines(spot) * ListedTaskSize.MAX_LIST_BYTES;
+    double missingBytes = usableCpus.waitingListBytes(spot) - freeBytes;
+    return (int) Math.max(0, Math.ceil(missingBytes / ListedTaskSize.MAX_LIST_BYTES));
+  }
+
   /** Returns the CPUs of the pool's zone: of its spot machines for a spot pool, else on-demand. */
   double cpusInMarketOf(CapacityPool pool) {
     return cpusByMarket.getOrDefault(new Market(pool.zone(), pool.spot()), 0.0);
--- a/src/main/java/org/snowturn/core/autoscaling/ScaleOut.java
+++ b/src/main/java/org/snowturn/core/autoscaling/ScaleOut.java
@@ -4,7 +4,7 @@
 import org.snowturn.core.model.Machine;
 import org.snowturn.core.model.MachineIndex;
 
-/** The addition of machines while the fleet has fewer CPUs than demanded. */
+/** The addition of machines while the fleet has less room for tasks than demanded. */
 final class ScaleOut {
   private final MachineIndex machines;
   private final TaskAssignments assignments;
@@ -42,21 +42,30 @@
   private void scaleOut(boolean spot) {
     double targetCpus = demand.targetCpus(spot);
     cancelScaleIn(spot, targetCpus);
-    while (capacity.cpus(spot) < targetCpus && openRequests.canAdd()) {
-      double missingCpus = targetCpus - capacity.cpus(spot);
+    while (isTooSmall(spot, targetCpus) && openRequests.canAdd()) {
+      double missingCpus = Math.max(0, targetCpus - capacity.cpus(spot));
       CapacityPool pool = poolSelector.select(spot, missingCpus);
-      if (pool == null || !rentals.tryRequest(pool, poolSelector.machineCount(pool, missingCpus))) {
+      if (pool == null) {
+        return;
+      }
+      int count = poolSelector.machineCount(pool, missingCpus, capacity.missingMachines(spot));
+      if (!rentals.tryRequest(pool, count)) {
         return;
       }
     }
   }
 
+  /** Returns whether the fleet lacks CPUs, or room in heartbeats for the waiting tasks. */
+  private boolean isTooSmall(boolean spot, double targetCpus) {
+    return capacity.cpus(spot) < targetCpus || capacity.missingMachines(spot) > 0;
+  }
+
   private void cancelScaleIn(boolean spot, double targetCpus) {
     for (Machine machine : machines.present()) {
       if (machine.lifecycle.isScalingIn()
           && !machine.lifecycle.isTerminating()
           && machine.isSpot() == spot
-          && capacity.cpus(spot) < targetCpus) {
+          && isTooSmall(spot, targetCpus)) {
         machine.lifecycle.cancelScaleIn();
         capacity.add(machine);
         assignments.markChanged();
--- a/src/main/java/org/snowturn/core/autoscaling/UsableCpus.java
+++ b/src/main/java/org/snowturn/core/autoscaling/UsableCpus.java
@@ -9,31 +9,17 @@
 import org.snowturn.wire.MachineType;
 
 /**
- * The CPUs of a machine that work can use. A machine whose tasks are so small that its heartbeat
- * has no room for more of them cannot use the rest of its CPUs, and counts only with those that it
- * can. A task's memory is converted to CPUs by the highest ratio of memory to CPUs of all types.
+ * What work needs of machines and can use of them. A machine whose heartbeat has no room for
+ * another task cannot use the rest of its CPUs, and the waiting tasks need room in heartbeats
+ * whatever CPUs are free. A task's memory is converted to CPUs by the highest ratio of memory to
+ * CPUs of all types.
  */
 final class UsableCpus {
   private final MachineTypes machineTypes;
   private final TaskAssignments assignments;
   private double gbPerCpu;
-  private Waiting onDemandWork = Waiting.NONE;
-  private Waiting spotWork = Waiting.NONE;
-
-  /**
-   * The tasks that wait for capacity.
-   *
-   * @param cpus the CPUs that they need
-   * @param listBytes the space that they need in heartbeats
-   */
-  private record Waiting(double cpus, double listBytes) {
-    static final Waiting NONE = new Waiting(0, 0);
-
-    /** Returns the CPUs that as many average tasks use as have room in this part of a heartbeat. */
-    double cpusWithin(double freeBytes) {
-      return listBytes == 0 ? Double.MAX_VALUE : Math.max(0, freeBytes) * cpus / listBytes;
-    }
-  }
+  private double waitingOnDemandBytes;
+  private double waitingSpotBytes;
 
   UsableCpus(MachineTypes machineTypes, TaskAssignments assignments) {
     this.machineTypes = machineTypes;
@@ -46,22 +32,20 @@
     for (MachineType type : machineTypes.all()) {
       gbPerCpu = Math.max(gbPerCpu, type.memoryGb() / Math.max(1, type.cpus()));
     }
-    onDemandWork = countWaiting(false);
-    spotWork = countWaiting(true);
+    waitingOnDemandBytes = countWaitingBytes(false);
+    waitingSpotBytes = countWaitingBytes(true);
   }
 
-  private Waiting countWaiting(boolean spot) {
-    double cpus = 0;
-    double listBytes = 0;
+  private double countWaitingBytes(boolean spot) {
+    double bytes = 0;
     for (Job job : assignments.jobs()) {
-      if (needsCapacity(job, spot)) {
-        double waiting = Math.max(0, requiredTasks(job) - job.assigned());
+      int waiting = needsCapacity(job, spot) ? requiredTasks(job) - job.assigned() : 0;
+      if (waiting > 0) {
         int entryBytes = ListedTaskSize.maxBytes(job.spec) + ListedTaskSize.SPACED_LAYOUT_BYTES;
-        cpus += waiting * cpusPerTask(job.spec);
-        listBytes += waiting * entryBytes;
+        bytes += (double) waiting * entryBytes;
       }
     }
-    return new Waiting(cpus, listBytes);
+    return bytes;
   }
 
   /** Returns whether the job needs capacity of all spot or of all on-demand machines. */
@@ -86,22 +70,16 @@
     return Math.max(cpus, gbPerCpu > 0 ? memoryGb / gbPerCpu : 0);
   }
 
-  /** Returns the CPUs of a machine of known type that its tasks and the waiting ones can use. */
+  /** Returns the CPUs of a machine of known type that its tasks and further ones can use. */
   double of(Machine machine) {
-    double used = inCpus(machine.cpusUsed(), machine.memoryUsedGb());
-    if (machine.heartbeatUsage.isFull()) {
-      return Math.min(machine.machineType().cpus(), used);
-    }
-    double usable = used + work(machine.isSpot()).cpusWithin(machine.heartbeatUsage.freeBytes());
-    return Math.min(machine.machineType().cpus(), usable);
-  }
-
-  /** Returns the CPUs of a new machine of a type that the waiting tasks can use. */
-  double ofNew(MachineType type, boolean spot) {
-    return Math.min(type.cpus(), work(spot).cpusWithin(ListedTaskSize.MAX_LIST_BYTES));
+    double cpus = machine.machineType().cpus();
+    return machine.heartbeatUsage.isFull()
+        ? Math.min(cpus, inCpus(machine.cpusUsed(), machine.memoryUsedGb()))
+        : cpus;
   }
 
-  private Waiting work(boolean spot) {
-    return spot ? spotWork : onDemandWork;
+  /** Returns the room in heartbeats that the waiting tasks of spot or on-demand machines need. */
+  double waitingListBytes(boolean spot) {
+    return spot ? waitingSpotBytes : waitingOnDemandBytes;
   }
 }
--- a/src/main/java/org/snowturn/wire/ListedTaskSize.java
+++ b/src/main/java/org/snowturn/wire/ListedTaskSize.java
@@ -54,7 +54,11 @@
   }
 
   private static int maxBytes(String job, int highestTask) {
-    int nameBytes = job.length() + 1 + Integer.toString(highestTask).length();
+    int digits = 1;
+    for (int rest = highestTask; rest >= 10; rest /= 10) {
+      digits++;
+    }
+    int nameBytes = job.length() + 1 + digits;
     return LONGEST_ENTRY.length() + nameBytes + MAX_ATTEMPT_DIGITS;
   }
 
