--- a/src/main/java/org/snowturn/core/Controller.java
+++ b/src/main/java/org/snowturn/core/Controller.java
@@ -88,6 +88,10 @@
             runtime,
             connectivity,
             () -> connectivity.ownConnectivity().canReachStateService());
+    jobApi = createJobApi();
+  }
+
+  private JobApi createJobApi() {
     JobApi.Services services =
         new JobApi.Services(
             machineTypes,
@@ -96,14 +100,13 @@
             rateAllocator.admissionController(),
             liveJobs,
             liveJobMemory);
-    jobApi =
-        new JobApi(
-            settings,
-            runtime,
-            services,
-            election::isStateServiceHealthy,
-            cancelledJobs(),
-            this::requestProgress);
+    return new JobApi(
+        settings,
+        runtime,
+        services,
+        election::isStateServiceHealthy,
+        cancelledJobs(),
+        this::requestProgress);
   }
 
   /** Publishes the progress of jobs as the leader, or asks the leader to. */
@@ -322,13 +325,10 @@
   }
 
   private void onPeerMessage(PeerMessage message) {
-    if (message instanceof PeerMessage.JobProgress progress) {
-      jobApi.onProgress(progress);
-    } else if (message instanceof PeerMessage.ProgressRequest request) {
-      if (leader != null) {
-        leader.publishProgress(request.jobs());
-      }
-    } else if (message instanceof PeerMessage.RateDemandReport report) {
+    if (onProgressMessage(message)) {
+      return;
+    }
+    if (message instanceof PeerMessage.RateDemandReport report) {
       rateAllocator.recordPeerDemand(report.from(), report.demand(), runtime.now());
     } else if (message instanceof PeerMessage.ConnectivityReport report) {
       connectivity.onReport(report);
@@ -346,4 +346,19 @@
       election.onPeerMessage(message);
     }
   }
+
+  /** Handles a message about the progress of jobs. Returns whether it was one. */
+  private boolean onProgressMessage(PeerMessage message) {
+    if (message instanceof PeerMessage.JobProgress progress) {
+      jobApi.onProgress(progress);
+      return true;
+    }
+    if (message instanceof PeerMessage.ProgressRequest request) {
+      if (leader != null) {
+        leader.publishProgress(request.jobs());
+      }
+      return true;
+    }
+    return false;
+  }
 }
--- a/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
+++ b/src/main/java/org/snowturn/core/dispatch/CommandQueue.java
@@ -190,8 +190,9 @@
         .values()
         .removeIf(command -> command.op() == Command.Op.START && !host.canStart(machine, command));
     CommandBatch batch = new CommandBatch();
-    takeCommands(batch, false);
-    takeCommands(batch, true);
+    if (takeCommands(batch, false)) {
+      takeCommands(batch, true);
+    }
     postponedStarts.clear();
     for (Command command : queue.values()) {
       if (command.op() == Command.Op.START) {
@@ -201,18 +202,23 @@
     return batch.commands();
   }
 
-  /** Moves queued commands to the message, either the starts or the others, until it is full. */
-  private void takeCommands(CommandBatch batch, boolean starts) {
+  /**
+   * Moves queued commands to the message, either the starts or the others, until it is full.
+   *
+   * @return whether the message had room for all of them
+   */
+  private boolean takeCommands(CommandBatch batch, boolean starts) {
     Iterator<Command> iterator = queue.values().iterator();
     while (iterator.hasNext()) {
       Command command = iterator.next();
       if ((command.op() == Command.Op.START) == starts) {
         if (!batch.add(command)) {
-          return;
+          return false;
         }
         iterator.remove();
       }
     }
+    return true;
   }
 
   private void sendProbe(long agentEpoch) {
