--- a/src/test/java/org/snowturn/peer/PeerCodecTest.java
+++ b/src/test/java/org/snowturn/peer/PeerCodecTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -67,6 +69,14 @@
     assertNull(PeerCodec.decode(unknownKind));
   }
 
+  @Test
+  void theLongestProgressRequestFitsIntoAFrame() {
+    PeerMessage request =
+        new PeerMessage.ProgressRequest(
+            "a-node-name", Collections.nCopies(150, "wk-123456789012345678"));
+    assertTrue(PeerCodec.encode(request).length <= PeerCodec.MAX_FRAME_BYTES);
+  }
+
   @Test
   void rejectsTruncatedMessage() {
     byte[] body = body(MESSAGES.get(1));
