--- a/src/testbench/java/org/snowturn/simulation/RandomJobs.java
+++ b/src/testbench/java/org/snowturn/simulation/RandomJobs.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.SplittableRandom;
 import org.snowturn.wire.JobSpec;
 
 /** Client that submits random arrays and services, cancels some and resubmits others. */
@@ -30,7 +31,7 @@
   private final Random random;
 
   /** Draws the arrays of small tasks, so that all else is as it was drawn without them. */
-  private final Random smallTasksRandom;
+  private final SplittableRandom smallTasksRandom;
 
   private final boolean hasSmallTasks;
   private final List<String> teams;
@@ -49,7 +50,7 @@
   RandomJobs(SimulatedCluster cluster, List<String> teams, int minPauseMs, int pauseSpreadMs) {
     this.cluster = cluster;
     this.random = cluster.random;
-    this.smallTasksRandom = new Random(cluster.seed);
+    this.smallTasksRandom = new SplittableRandom(cluster.seed);
     this.hasSmallTasks = smallTasksRandom.nextInt(SMALL_TASK_SEEDS_ONE_IN) == 0;
     this.teams = List.copyOf(teams);
     this.minPauseMs = minPauseMs;
